Set down the design, the core types and the blackboard

Cause: the project starts empty; every later part needs one agreed shape. Conclusion: parts can now be built side by side against these types.

--- /dev/null
+++ b/crates/blackboard/src/counters.rs
@@ -0,0 +1,87 @@
+//! Atomic counters of one host.
+
+use heatherhinge_types::MonoNs;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+
+/// Phase of this host's life.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum HostPhase {
+    /// No bundle is in force yet.
+    Starting,
+    /// The host takes new work.
+    Serving,
+    /// The host is no longer named to callers but still takes what arrives.
+    Leaving,
+    /// The host takes no new work and finishes what is in flight.
+    Draining,
+}
+
+/// The part of the host's state that every request reads.
+#[derive(Debug, Default)]
+pub struct HostStatus {
+    phase: AtomicU8,
+    fresh_until_ns: AtomicU64,
+}
+
+impl HostStatus {
+    /// Returns the phase.
+    #[must_use]
+    pub fn phase(&self) -> HostPhase {
+        match self.phase.load(Ordering::Acquire) {
+            0 => HostPhase::Starting,
+            1 => HostPhase::Serving,
+            2 => HostPhase::Leaving,
+            _ => HostPhase::Draining,
+        }
+    }
+
+    /// Sets the phase; only the drain controller does so.
+    pub fn set_phase(&self, phase: HostPhase) {
+        self.phase.store(phase as u8, Ordering::Release);
+    }
+
+    /// Returns whether the bundle in force can be trusted to be the newest.
+    #[must_use]
+    pub fn is_fresh(&self, now_ns: MonoNs) -> bool {
+        now_ns.0 < self.fresh_until_ns.load(Ordering::Acquire)
+    }
+
+    /// Sets the end of freshness; only the bundle controller does so.
+    pub fn set_fresh_until(&self, until_ns: MonoNs) {
+        self.fresh_until_ns.store(until_ns.0, Ordering::Release);
+    }
+}
+
+/// Counters of one service on one host.
+#[derive(Debug, Default)]
+pub struct ServiceCounters {
+    /// Whole answers passed on.
+    pub successes: AtomicU64,
+    /// Requests refused by this host.
+    pub refusals: AtomicU64,
+    /// Attempts after the first.
+    pub retries: AtomicU64,
+    /// Requests waiting for a target.
+    pub waiting: AtomicU64,
+    /// Thousandths of a retry that may still be spent.
+    pub retry_credit_permille: AtomicU64,
+    /// Recent time a target takes for one request, in nanoseconds.
+    pub service_time_ns: AtomicU64,
+}
+
+/// Counters of one host.
+#[derive(Debug, Default)]
+pub struct Counters {
+    /// Phase and freshness.
+    pub status: HostStatus,
+    /// Active probes sent.
+    pub probes: AtomicU64,
+    /// Requests received from callers.
+    pub requests: AtomicU64,
+    /// Requests in flight from callers.
+    pub in_flight: AtomicU64,
+    /// Claims asked of other hosts.
+    pub claims_sent: AtomicU64,
+    /// Records dropped because the object store was down for too long.
+    pub records_lost: AtomicU64,
+}
--- /dev/null
+++ b/crates/blackboard/src/host_record.rs
@@ -0,0 +1,113 @@
+//! What a host publishes about itself. Only that host writes it; peers keep copies in memory.
+
+use crate::MoveState;
+use heatherhinge_bundle::BundleVersion;
+use heatherhinge_types::{Digest, Name, StartId, WallMs};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Orders the records of one host: a later start wins, then a later change.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct RecordVersion {
+    /// Wall time of the host's start, which tells its runs apart.
+    pub incarnation: u64,
+    /// Counts changes within one run.
+    pub sequence: u64,
+}
+
+/// The published record of one host; `docs/design.md`, section 13.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostRecord {
+    /// Name of the host.
+    pub host: Name,
+    /// Order among records of the same host.
+    pub version: RecordVersion,
+    /// Zone of the host.
+    pub zone: Name,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address of the peer protocol.
+    pub peer_addr: SocketAddr,
+    /// Whether callers may be sent to the host.
+    pub takes_callers: bool,
+    /// The bundle in force on the host.
+    pub bundle_version: BundleVersion,
+    /// Age of the host's last contact with the store, directly or through peers, when the record
+    /// was sent; in milliseconds.
+    pub store_age_ms: u64,
+    /// Epoch of its lease.
+    pub lease_epoch: u64,
+    /// End of its lease; 0 without one.
+    pub lease_until_wall_ms: WallMs,
+    /// Targets that the host, as their owner, announces warm.
+    pub warm: Vec<WarmTarget>,
+    /// Counts of answers for the moves under way.
+    pub evidence: Vec<Evidence>,
+    /// Verdicts on moves, those heard from others included, so that a fresh host learns them.
+    pub verdicts: Vec<MoveVerdict>,
+    /// Requests that are held back.
+    pub quarantine: Vec<Quarantine>,
+    /// What measuring and retrying cost.
+    pub spend: Spend,
+}
+
+/// A target that its owner announces warm.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct WarmTarget {
+    /// Name of the target.
+    pub target: Name,
+    /// The run that is warm.
+    pub start_id: StartId,
+}
+
+/// Answers of one version on one route since the move began, as counted by one host.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Name of the move.
+    pub move_id: Name,
+    /// Name of the route.
+    pub route: Name,
+    /// Whether the counts are of the new version.
+    pub is_new: bool,
+    /// Good answers.
+    pub good: u64,
+    /// Failed answers.
+    pub failed: u64,
+    /// Good answers slower than the old version's recent 95th percentile.
+    pub slow: u64,
+}
+
+/// A verdict on a move.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct MoveVerdict {
+    /// Name of the service.
+    pub service: Name,
+    /// Name of the move.
+    pub move_id: Name,
+    /// State.
+    pub state: MoveState,
+    /// Share of the new version, in thousandths.
+    pub share_permille: u32,
+    /// Rises with each decision of the leader.
+    pub step: u64,
+}
+
+/// A request that is held back.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Quarantine {
+    /// Digest of the request.
+    pub digest: Digest,
+    /// End of the quarantine.
+    pub until_wall_ms: WallMs,
+}
+
+/// Costs since the start of the host.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Spend {
+    /// Active probes.
+    pub probes: u64,
+    /// Attempts after the first.
+    pub retries: u64,
+    /// Requests refused.
+    pub refusals: u64,
+}
--- /dev/null
+++ b/crates/blackboard/src/host_table.rs
@@ -0,0 +1,31 @@
+//! The entry hosts that this host knows.
+
+use crate::HostRecord;
+use heatherhinge_types::{MonoNs, Name};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// One entry host as seen from here.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct HostEntry {
+    /// The newest record of the host.
+    pub record: Arc<HostRecord>,
+    /// When a newer record of the host last arrived, by any way.
+    pub heard_ns: MonoNs,
+    /// Whether the host was heard recently enough to be used.
+    pub is_live: bool,
+}
+
+/// Entry hosts by name, this host included.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct HostTable {
+    /// Hosts by name.
+    pub hosts: BTreeMap<Name, HostEntry>,
+}
+
+impl HostTable {
+    /// Returns the live hosts in the order of their names.
+    pub fn live(&self) -> impl Iterator<Item = &HostEntry> {
+        self.hosts.values().filter(|host| host.is_live)
+    }
+}
--- /dev/null
+++ b/crates/blackboard/src/lib.rs
@@ -0,0 +1,34 @@
+//! The shared state of one entry host.
+//!
+//! Every part of a host meets the others here and nowhere else. Each entry has exactly one writer:
+//! [`Blackboard::new`] hands out one [`Writer`] for each entry, and a writer cannot be cloned.
+//! Readers take a snapshot by read-copy-update, so the path of a request takes no lock. The list
+//! of entries, writers and readers is in `docs/design.md`, section 5.
+
+mod board;
+mod counters;
+mod entry;
+mod host_record;
+mod host_table;
+mod move_table;
+mod owner_table;
+mod quarantine_table;
+mod routing;
+mod target_cell;
+mod warmth_table;
+mod zone_table;
+
+pub use board::{Blackboard, Writers};
+pub use counters::{Counters, HostPhase, HostStatus, ServiceCounters};
+pub use entry::{Reader, Snapshot, Versioned, Writer, entry};
+pub use host_record::{
+    Evidence, HostRecord, MoveVerdict, Quarantine, RecordVersion, Spend, WarmTarget,
+};
+pub use host_table::{HostEntry, HostTable};
+pub use move_table::{MoveEntry, MoveState, MoveTable};
+pub use owner_table::{Owner, OwnerTable};
+pub use quarantine_table::QuarantineTable;
+pub use routing::{Basis, ColdTarget, RoutingSnapshot, ServiceTargets, VersionPool};
+pub use target_cell::{InFlight, TargetCell, TargetSample};
+pub use warmth_table::{Warmth, WarmthTable};
+pub use zone_table::{ZoneEntry, ZonePhase, ZoneTable};
--- /dev/null
+++ b/crates/blackboard/src/quarantine_table.rs
@@ -0,0 +1,21 @@
+//! Requests that are held back because they crashed targets.
+
+use heatherhinge_types::{Digest, WallMs};
+use std::collections::BTreeMap;
+
+/// Digests that are held back, each with the end of its quarantine.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct QuarantineTable {
+    /// End of the quarantine by digest.
+    pub until_wall_ms: BTreeMap<Digest, WallMs>,
+}
+
+impl QuarantineTable {
+    /// Returns whether requests with this digest are held back.
+    #[must_use]
+    pub fn holds_back(&self, digest: Digest, now_wall_ms: WallMs) -> bool {
+        self.until_wall_ms
+            .get(&digest)
+            .is_some_and(|until| now_wall_ms < *until)
+    }
+}
--- /dev/null
+++ b/crates/blackboard/src/routing.rs
@@ -0,0 +1,64 @@
+//! What the path of a request reads: one consistent snapshot.
+
+use crate::{ServiceCounters, TargetCell};
+use heatherhinge_bundle::{BundleVersion, Service};
+use heatherhinge_types::Name;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// The versions of the entries that a routing snapshot was made from, for decision records.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Basis {
+    /// Version of the bundle.
+    pub bundle: BundleVersion,
+    /// Version of the owners entry.
+    pub owners: u64,
+    /// Version of the warmth entry.
+    pub warmth: u64,
+    /// Version of the moves entry.
+    pub moves: u64,
+    /// Version of the zones entry.
+    pub zones: u64,
+}
+
+/// Everything that a request is routed by.
+#[derive(Debug, Default)]
+pub struct RoutingSnapshot {
+    /// What the snapshot was made from.
+    pub basis: Basis,
+    /// Services by name.
+    pub services: BTreeMap<Name, Arc<ServiceTargets>>,
+}
+
+/// The targets of one service that may take new work.
+#[derive(Debug)]
+pub struct ServiceTargets {
+    /// The service as the bundle states it.
+    pub service: Arc<Service>,
+    /// Counters, which outlive the snapshot.
+    pub counters: Arc<ServiceCounters>,
+    /// The versions that take traffic, the main one first. A second one is there during a move.
+    pub pools: Vec<VersionPool>,
+}
+
+/// The targets of one version.
+#[derive(Debug)]
+pub struct VersionPool {
+    /// The version.
+    pub version: Name,
+    /// Largest share of the requests on each route, in thousandths; 1,000 for the main version.
+    pub share_permille: u32,
+    /// Warm targets that this host uses.
+    pub warm: Vec<Arc<TargetCell>>,
+    /// Targets that are not warm and whose allowance this host may use as their owner.
+    pub cold: Vec<ColdTarget>,
+}
+
+/// A target that is not warm.
+#[derive(Clone, Debug)]
+pub struct ColdTarget {
+    /// The target.
+    pub cell: Arc<TargetCell>,
+    /// Most requests in flight at once, over all hosts.
+    pub allowance: u32,
+}
--- /dev/null
+++ b/crates/blackboard/src/target_cell.rs
@@ -0,0 +1,193 @@
+//! What this host knows of one target, as atomics on the path of a request.
+
+use heatherhinge_types::{LoadReport, MonoNs, Name, StartId};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
+
+/// Decay of the latency estimate: a peak has lost most of its weight after this time.
+const LATENCY_DECAY_NS: u64 = 500_000_000;
+
+/// One target. The cell outlives routing snapshots, so counts survive a change of the bundle.
+#[derive(Debug)]
+pub struct TargetCell {
+    /// Name, which is the address as text.
+    pub id: Name,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Availability zone.
+    pub zone: Name,
+    /// Version that the target runs.
+    pub version: Name,
+    in_flight: AtomicU32,
+    sent: AtomicU64,
+    reported_in_flight: AtomicU32,
+    own_at_report: AtomicU32,
+    reported_ns: AtomicU64,
+    start_id: AtomicU64,
+    uptime_ms: AtomicU64,
+    latency_ns: AtomicU64,
+    latency_at_ns: AtomicU64,
+    failures: AtomicU32,
+    failed_at_ns: AtomicU64,
+}
+
+/// A consistent enough reading of a cell for one decision.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct TargetSample {
+    /// Requests of this host in flight at the target.
+    pub own_in_flight: u32,
+    /// Requests in flight by the target's last report, from all hosts.
+    pub reported_in_flight: u32,
+    /// Requests of this host in flight when that report arrived.
+    pub own_at_report: u32,
+    /// Arrival of the last report; 0 if there is none.
+    pub reported_ns: MonoNs,
+    /// Recent latency, with the decay applied.
+    pub latency_ns: u64,
+    /// Failures in a row.
+    pub failures: u32,
+    /// Time of the last failure.
+    pub failed_at_ns: MonoNs,
+}
+
+impl TargetCell {
+    /// Makes a cell for a target of which nothing is known yet.
+    #[must_use]
+    pub fn new(addr: SocketAddr, zone: Name, version: Name) -> Self {
+        Self {
+            id: Name::from(addr.to_string()),
+            addr,
+            zone,
+            version,
+            in_flight: AtomicU32::new(0),
+            sent: AtomicU64::new(0),
+            reported_in_flight: AtomicU32::new(0),
+            own_at_report: AtomicU32::new(0),
+            reported_ns: AtomicU64::new(0),
+            start_id: AtomicU64::new(0),
+            uptime_ms: AtomicU64::new(0),
+            latency_ns: AtomicU64::new(0),
+            latency_at_ns: AtomicU64::new(0),
+            failures: AtomicU32::new(0),
+            failed_at_ns: AtomicU64::new(0),
+        }
+    }
+
+    /// Reads the cell.
+    #[must_use]
+    pub fn sample(&self, now_ns: MonoNs) -> TargetSample {
+        TargetSample {
+            own_in_flight: self.in_flight.load(Ordering::Relaxed),
+            reported_in_flight: self.reported_in_flight.load(Ordering::Relaxed),
+            own_at_report: self.own_at_report.load(Ordering::Relaxed),
+            reported_ns: MonoNs(self.reported_ns.load(Ordering::Relaxed)),
+            latency_ns: self.decayed_latency_ns(now_ns),
+            failures: self.failures.load(Ordering::Relaxed),
+            failed_at_ns: MonoNs(self.failed_at_ns.load(Ordering::Relaxed)),
+        }
+    }
+
+    /// Returns the requests of this host in flight.
+    #[must_use]
+    pub fn own_in_flight(&self) -> u32 {
+        self.in_flight.load(Ordering::Relaxed)
+    }
+
+    /// Returns the requests that this host sent since it knows the target.
+    #[must_use]
+    pub fn sent(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed)
+    }
+
+    /// Returns the run of the target that was last heard of, or `None` before the first report.
+    #[must_use]
+    pub fn start_id(&self) -> Option<StartId> {
+        match self.start_id.load(Ordering::Acquire) {
+            0 => None,
+            id => Some(StartId(id)),
+        }
+    }
+
+    /// Returns the uptime in the last report, in milliseconds.
+    #[must_use]
+    pub fn uptime_ms(&self) -> u64 {
+        self.uptime_ms.load(Ordering::Relaxed)
+    }
+
+    /// Counts a request as in flight if fewer than `limit` are, and returns the guard that ends it.
+    ///
+    /// The check and the count are one atomic step, so threads that decide at the same moment
+    /// cannot exceed the limit together.
+    #[must_use]
+    pub fn try_begin(self: &Arc<Self>, limit: u32) -> Option<InFlight> {
+        self.in_flight
+            .fetch_update(Ordering::AcqRel, Ordering::Relaxed, |n| {
+                (n < limit).then_some(n + 1)
+            })
+            .ok()?;
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        Some(InFlight(Arc::clone(self)))
+    }
+
+    /// Takes in a load report. Returns the earlier run if the target has restarted since.
+    pub fn record_report(&self, report: LoadReport, now_ns: MonoNs) -> Option<StartId> {
+        self.reported_in_flight
+            .store(report.in_flight, Ordering::Relaxed);
+        self.own_at_report
+            .store(self.own_in_flight(), Ordering::Relaxed);
+        self.reported_ns.store(now_ns.0, Ordering::Relaxed);
+        self.uptime_ms.store(report.uptime_ms, Ordering::Relaxed);
+        let before = self.start_id.swap(report.start_id.0, Ordering::AcqRel);
+        (before != 0 && before != report.start_id.0).then_some(StartId(before))
+    }
+
+    /// Takes in the latency of a good answer: a rise counts at once, a fall by a quarter.
+    pub fn record_success(&self, latency_ns: u64, now_ns: MonoNs) {
+        let old = self.decayed_latency_ns(now_ns);
+        let new = if latency_ns > old {
+            latency_ns
+        } else {
+            old - (old - latency_ns) / 4
+        };
+        self.latency_ns.store(new, Ordering::Relaxed);
+        self.latency_at_ns.store(now_ns.0, Ordering::Relaxed);
+        self.failures.store(0, Ordering::Relaxed);
+    }
+
+    /// Takes in a failure, so that a target that fails fast does not look idle.
+    pub fn record_failure(&self, now_ns: MonoNs) {
+        self.failures
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |n| {
+                Some(n.saturating_add(1))
+            })
+            .ok();
+        self.failed_at_ns.store(now_ns.0, Ordering::Relaxed);
+    }
+
+    fn decayed_latency_ns(&self, now_ns: MonoNs) -> u64 {
+        let latency_ns = self.latency_ns.load(Ordering::Relaxed);
+        let age_ns = now_ns.ns_since(MonoNs(self.latency_at_ns.load(Ordering::Relaxed)));
+        // Halves once for each decay time that has passed without an answer.
+        let halvings = u32::try_from(age_ns / LATENCY_DECAY_NS).unwrap_or(u32::MAX);
+        latency_ns.checked_shr(halvings).unwrap_or(0)
+    }
+}
+
+/// Counts one request as in flight at a target until it is dropped.
+#[derive(Debug)]
+pub struct InFlight(Arc<TargetCell>);
+
+impl InFlight {
+    /// Returns the target.
+    #[must_use]
+    pub fn target(&self) -> &Arc<TargetCell> {
+        &self.0
+    }
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.0.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
--- /dev/null
+++ b/crates/controllers/src/lib.rs
@@ -0,0 +1,11 @@
+//! Controllers that keep the blackboard of a host up to date, off the path of a request.
+//!
+//! Each controller owns the writer of one entry, reads the others, and is stepped with an event
+//! and the time. It does no input or output: [`Controller::step`] returns what the daemon has to
+//! do next. See `docs/design.md`, sections 4 and 5.
+
+mod controller;
+mod targets;
+
+pub use controller::Controller;
+pub use targets::{ListedTarget, TargetController, TargetEvent};
--- /dev/null
+++ b/crates/controllers/src/targets.rs
@@ -0,0 +1,215 @@
+//! Builds the routing snapshot from the bundle, zones, moves, warmth and the list of targets.
+//!
+//! It is the only writer of the `routing` entry; `docs/design.md`, sections 5 and 9.
+
+use crate::Controller;
+use heatherhinge_blackboard::{
+    Basis, Blackboard, ColdTarget, MoveEntry, MoveState, RoutingSnapshot, ServiceCounters,
+    ServiceTargets, TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
+};
+use heatherhinge_bundle::Service;
+use heatherhinge_types::{Name, Now};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// One target in the platform's list.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct ListedTarget {
+    /// Name of the service.
+    pub service: Name,
+    /// Address.
+    pub addr: SocketAddr,
+    /// Zone.
+    pub zone: Name,
+    /// Version that the target runs.
+    pub version: Name,
+    /// Whether the target is leaving and must get no new work.
+    pub is_leaving: bool,
+}
+
+/// What the target controller is told.
+#[derive(Clone, Debug)]
+pub enum TargetEvent {
+    /// The platform's list was read.
+    Listed(Vec<ListedTarget>),
+    /// Time passed; another entry may have changed.
+    Tick,
+}
+
+/// Builds the routing snapshot.
+#[derive(Debug)]
+pub struct TargetController {
+    writer: Writer<RoutingSnapshot>,
+    listed: Vec<ListedTarget>,
+    list_changed: bool,
+    cells: BTreeMap<SocketAddr, Arc<TargetCell>>,
+    counters: BTreeMap<Name, Arc<ServiceCounters>>,
+}
+
+impl TargetController {
+    /// Makes the controller from the one writer of the routing entry.
+    #[must_use]
+    pub fn new(writer: Writer<RoutingSnapshot>) -> Self {
+        Self {
+            writer,
+            listed: Vec::new(),
+            list_changed: false,
+            cells: BTreeMap::new(),
+            counters: BTreeMap::new(),
+        }
+    }
+
+    /// Returns the cell of a target, if the target was ever listed.
+    #[must_use]
+    pub fn cell(&self, addr: &SocketAddr) -> Option<&Arc<TargetCell>> {
+        self.cells.get(addr)
+    }
+
+    fn take_list(&mut self, listed: Vec<ListedTarget>) {
+        if listed == self.listed {
+            return;
+        }
+        self.cells.retain(|addr, cell| {
+            listed
+                .iter()
+                .any(|t| t.addr == *addr && t.version == cell.version)
+                || cell.own_in_flight() > 0
+        });
+        for target in &listed {
+            let cell = self.cells.get(&target.addr);
+            if cell.is_none_or(|cell| cell.version != target.version || cell.zone != target.zone) {
+                let new = TargetCell::new(target.addr, target.zone.clone(), target.version.clone());
+                self.cells.insert(target.addr, Arc::new(new));
+            }
+        }
+        self.listed = listed;
+        self.list_changed = true;
+    }
+
+    fn rebuild(&mut self, board: &Blackboard) {
+        let basis = current_basis(board);
+        if !self.list_changed && basis == self.writer.read().value.basis {
+            return;
+        }
+        let bundle = board.bundle.read_owned();
+        let Some(bundle) = bundle.value.as_ref() else {
+            return;
+        };
+        let (zones, moves, warmth) = (
+            board.zones.read_owned(),
+            board.moves.read_owned(),
+            board.warmth.read_owned(),
+        );
+        let mut services = BTreeMap::new();
+        for (name, service) in &bundle.services {
+            let pools = pool_plan(service, moves.value.services.get(name))
+                .into_iter()
+                .map(|(version, share_permille)| {
+                    self.pool(
+                        service,
+                        version,
+                        share_permille,
+                        &zones.value,
+                        &warmth.value,
+                    )
+                })
+                .collect();
+            let counters = Arc::clone(self.counters.entry(name.clone()).or_default());
+            let targets = ServiceTargets {
+                service: Arc::clone(service),
+                counters,
+                pools,
+            };
+            services.insert(name.clone(), Arc::new(targets));
+        }
+        self.counters
+            .retain(|name, _| bundle.services.contains_key(name));
+        self.list_changed = false;
+        self.writer.publish(RoutingSnapshot { basis, services });
+    }
+
+    fn pool(
+        &self,
+        service: &Service,
+        version: Name,
+        share_permille: u32,
+        zones: &ZoneTable,
+        warmth: &WarmthTable,
+    ) -> VersionPool {
+        let mut pool = VersionPool {
+            version,
+            share_permille,
+            warm: Vec::new(),
+            cold: Vec::new(),
+        };
+        for target in &self.listed {
+            let is_usable = target.service == service.name
+                && target.version == pool.version
+                && !target.is_leaving
+                && service.zones.contains(&target.zone)
+                && zones.takes_work(&target.zone);
+            let Some(cell) = self.cells.get(&target.addr).filter(|_| is_usable) else {
+                continue;
+            };
+            match warmth.get(&cell.id) {
+                Warmth::Warm { start_id } if cell.start_id().is_none_or(|id| id == start_id) => {
+                    pool.warm.push(Arc::clone(cell));
+                }
+                Warmth::Owned { allowance } => {
+                    pool.cold.push(ColdTarget {
+                        cell: Arc::clone(cell),
+                        allowance,
+                    });
+                }
+                Warmth::Warm { .. } | Warmth::NotOwned => {}
+            }
+        }
+        pool
+    }
+}
+
+impl Controller for TargetController {
+    type Event = TargetEvent;
+    type Effect = std::convert::Infallible;
+
+    fn step(&mut self, board: &Blackboard, event: TargetEvent, _now: Now) -> Vec<Self::Effect> {
+        if let TargetEvent::Listed(listed) = event {
+            self.take_list(listed);
+        }
+        self.rebuild(board);
+        Vec::new()
+    }
+}
+
+fn current_basis(board: &Blackboard) -> Basis {
+    let bundle = board.bundle.read();
+    Basis {
+        bundle: bundle
+            .value
+            .as_ref()
+            .map(|bundle| bundle.version)
+            .unwrap_or_default(),
+        owners: board.owners.read().version,
+        warmth: board.warmth.read().version,
+        moves: board.moves.read().version,
+        zones: board.zones.read().version,
+    }
+}
+
+/// Returns the versions of a service that take traffic, the main one first, with their shares.
+fn pool_plan(service: &Service, entry: Option<&MoveEntry>) -> Vec<(Name, u32)> {
+    let Some(entry) = entry else {
+        return vec![(service.version.clone(), 1_000)];
+    };
+    match entry.state {
+        MoveState::Done => vec![(entry.to.clone(), 1_000)],
+        MoveState::TakenBack | MoveState::Waiting => vec![(entry.from.clone(), 1_000)],
+        MoveState::Canary | MoveState::Raising | MoveState::Late => {
+            vec![
+                (entry.from.clone(), 1_000),
+                (entry.to.clone(), entry.share_permille),
+            ]
+        }
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon of an entry host.
--- /dev/null
+++ b/crates/ini/src/lib.rs
@@ -0,0 +1,1 @@
+//! INI documents with line numbers.
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! The load and experiment tool.
--- /dev/null
+++ b/crates/peer/src/lib.rs
@@ -0,0 +1,1 @@
+//! The protocol between entry hosts.
--- /dev/null
+++ b/crates/settings/src/lib.rs
@@ -0,0 +1,1 @@
+//! Settings files of the processes.
--- /dev/null
+++ b/crates/standin-platform/src/lib.rs
@@ -0,0 +1,1 @@
+//! A stand-in for the platform's services.
--- /dev/null
+++ b/crates/standin-target/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-in targets with faults that can be switched.
--- /dev/null
+++ b/crates/types/src/digest.rs
@@ -0,0 +1,44 @@
+//! 128-bit digests of requests and names.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use twox_hash::XxHash3_128;
+
+/// A digest that every host computes alike.
+///
+/// It names a request body or a name; it is not a defence against an adversary.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+#[serde(transparent)]
+pub struct Digest(pub u128);
+
+impl Digest {
+    /// Digests one run of bytes.
+    #[must_use]
+    pub fn of(bytes: &[u8]) -> Self {
+        Self(XxHash3_128::oneshot(bytes))
+    }
+
+    /// Digests several parts; the length of each part is included so that moving a byte from one
+    /// part to the next gives another digest.
+    #[must_use]
+    pub fn of_parts(parts: &[&[u8]]) -> Self {
+        let mut hasher = twox_hash::xxhash3_128::Hasher::new();
+        for part in parts {
+            hasher.write(&(part.len() as u64).to_le_bytes());
+            hasher.write(part);
+        }
+        Self(hasher.finish_128())
+    }
+}
+
+impl fmt::Display for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
+
+impl fmt::Debug for Digest {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        fmt::Display::fmt(self, f)
+    }
+}
--- /dev/null
+++ b/crates/types/src/load_report.rs
@@ -0,0 +1,77 @@
+//! Load reports that targets send on their answers.
+
+use serde::{Deserialize, Serialize};
+use std::fmt;
+use std::str::FromStr;
+
+/// Identifies one run of a target process; it changes whenever the target restarts.
+#[derive(
+    Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct StartId(pub u64);
+
+/// What a target says of its load on an answer: `inflight=2;slots=5;start=77;uptime-ms=1200`.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LoadReport {
+    /// Requests that the target was running when it answered, from all hosts.
+    pub in_flight: u32,
+    /// Requests that the target can run at once.
+    pub slots: u32,
+    /// The run of the target process.
+    pub start_id: StartId,
+    /// Time since the target process started, in milliseconds.
+    pub uptime_ms: u64,
+}
+
+/// Why a load report could not be read. The report is then ignored.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum LoadReportError {
+    /// A part is not of the form `name=number`.
+    BadPart,
+    /// A required part is absent.
+    Missing,
+}
+
+impl FromStr for LoadReport {
+    type Err = LoadReportError;
+
+    fn from_str(text: &str) -> Result<Self, LoadReportError> {
+        let (mut in_flight, mut slots, mut start, mut uptime_ms) = (None, None, None, None);
+        for part in text.split(';') {
+            let (name, value) = part
+                .trim()
+                .split_once('=')
+                .ok_or(LoadReportError::BadPart)?;
+            let value: u64 = value.trim().parse().map_err(|_| LoadReportError::BadPart)?;
+            match name.trim() {
+                "inflight" => in_flight = Some(value),
+                "slots" => slots = Some(value),
+                "start" => start = Some(value),
+                "uptime-ms" => uptime_ms = Some(value),
+                _ => {} // Unknown parts are left for later versions of the report.
+            }
+        }
+        let small = |value: Option<u64>| {
+            value
+                .map(|v| u32::try_from(v).unwrap_or(u32::MAX))
+                .ok_or(LoadReportError::Missing)
+        };
+        Ok(Self {
+            in_flight: small(in_flight)?,
+            slots: small(slots)?,
+            start_id: StartId(start.ok_or(LoadReportError::Missing)?),
+            uptime_ms: uptime_ms.ok_or(LoadReportError::Missing)?,
+        })
+    }
+}
+
+impl fmt::Display for LoadReport {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "inflight={};slots={};start={};uptime-ms={}",
+            self.in_flight, self.slots, self.start_id.0, self.uptime_ms
+        )
+    }
+}
--- /dev/null
+++ b/crates/types/tests/identifiers.rs
@@ -0,0 +1,57 @@
+//! Identifiers: keys, digests, load reports and result codes.
+
+use heatherhinge_types::{Code, Digest, KeyError, LoadReport, Partition, RequestKey, WallMs};
+use std::collections::BTreeSet;
+use yare::parameterized;
+
+/// Guards against a key whose issue time or partition is read from the wrong bytes.
+#[test]
+fn key_carries_issue_time_and_partition() {
+    let key = RequestKey::new(WallMs(1_700_000_000_123), [1, 2, 3, 4, 5, 6, 7, 8, 9, 42]);
+    assert_eq!(key.issued_wall_ms(), WallMs(1_700_000_000_123));
+    assert_eq!(key.partition(), Partition(42));
+    assert_eq!(key.to_string().parse(), Ok(key));
+    assert_eq!(format!("\"{key}\"").parse(), Ok(key));
+}
+
+/// Guards against accepting a key without an issue time.
+#[parameterized(
+    empty = { "", KeyError::NotUuid },
+    words = { "order-17", KeyError::NotUuid },
+    random = { "9b2f1a55-6d0c-4b57-8f2e-0a1b2c3d4e5f", KeyError::NotVersion7 },
+)]
+fn key_without_issue_time_is_refused(text: &str, error: KeyError) {
+    assert_eq!(text.parse::<RequestKey>(), Err(error));
+}
+
+/// Guards against two requests whose parts run together having one digest.
+#[test]
+fn digest_separates_parts() {
+    assert_ne!(
+        Digest::of_parts(&[b"ab", b"c"]),
+        Digest::of_parts(&[b"a", b"bc"])
+    );
+}
+
+/// Guards against a malformed load report being read as an idle target.
+#[parameterized(
+    empty = { "" },
+    no_slots = { "inflight=1;start=2;uptime-ms=3" },
+    negative = { "inflight=-1;slots=5;start=2;uptime-ms=3" },
+    words = { "inflight=few;slots=5;start=2;uptime-ms=3" },
+)]
+fn malformed_load_report_is_refused(text: &str) {
+    assert!(text.parse::<LoadReport>().is_err());
+}
+
+/// Guards against a code number that is given twice or cannot be found again.
+#[test]
+fn code_numbers_are_unique() {
+    let numbers: BTreeSet<u16> = Code::ALL.iter().map(|code| code.number()).collect();
+    assert_eq!(numbers.len(), Code::ALL.len());
+    assert!(
+        Code::ALL
+            .iter()
+            .all(|code| Code::from_number(code.number()) == Some(*code))
+    );
+}
