Add the decisions on the path of a request

Cause: routing, waiting, retries and the choice of a target must be testable without sockets, and must serve the daemon and the experiments alike. Conclusion: the tail latency against the baselines is still to be measured.

--- /dev/null
+++ b/crates/policy/src/choose.rs
@@ -0,0 +1,123 @@
+//! Which target gets a request now, if any.
+
+use crate::{PickView, Picker, Plan};
+use heatherhinge_blackboard::{ColdTarget, InFlight, ServiceTargets, TargetCell, VersionPool};
+use heatherhinge_bundle::RouteClass;
+use heatherhinge_types::{Code, MonoNs, Name, Urgency};
+use rand::{Rng, RngExt};
+use std::sync::Arc;
+
+/// Requests that a target may have beyond its slots. They wait in the target's own short queue,
+/// which keeps a slot from idling for the time that an answer travels.
+const QUEUED_AT_TARGET: u32 = 1;
+
+/// What to do with a request now.
+#[derive(Debug)]
+pub enum Choice {
+    /// Send it to this target.
+    Send(Chosen),
+    /// Wait until a target has room.
+    Wait,
+    /// Refuse it; it has not run.
+    Refuse(Code),
+}
+
+/// A chosen target, counted as in flight.
+#[derive(Debug)]
+pub struct Chosen {
+    /// Counts the request at the target until dropped.
+    pub in_flight: InFlight,
+    /// Version that the target runs.
+    pub version: Name,
+    /// Whether the target is not warm.
+    pub is_cold: bool,
+    /// Targets that the choice was made from.
+    pub candidates: usize,
+}
+
+/// Chooses a target for a request. `avoid` is the target that has just failed it.
+pub fn choose<P: Picker, R: Rng>(
+    plan: &Plan,
+    avoid: Option<&Name>,
+    picker: &P,
+    now_ns: MonoNs,
+    rng: &mut R,
+) -> Choice {
+    let Some(pool) = choose_pool(&plan.targets, rng) else {
+        return Choice::Refuse(Code::NoTarget);
+    };
+    if may_use_cold(plan, pool)
+        && let Some(chosen) = choose_cold(pool, avoid)
+    {
+        return Choice::Send(chosen);
+    }
+    let view = PickView {
+        now_ns,
+        limit: limit(plan),
+        avoid,
+    };
+    match choose_warm(pool, picker, &view, rng) {
+        Some(chosen) => Choice::Send(chosen),
+        None if pool.warm.is_empty() && pool.cold.is_empty() => Choice::Refuse(Code::NoTarget),
+        None => Choice::Wait,
+    }
+}
+
+fn choose_pool<'a, R: Rng>(targets: &'a ServiceTargets, rng: &mut R) -> Option<&'a VersionPool> {
+    let main = targets.pools.first();
+    match targets.pools.get(1) {
+        Some(new) if !new.warm.is_empty() && rng.random_range(0..1_000) < new.share_permille => {
+            Some(new)
+        }
+        _ => main,
+    }
+}
+
+/// A cold target may be slow, so it gets work that can be retried and is not urgent, unless there
+/// is no warm target.
+fn may_use_cold(plan: &Plan, pool: &VersionPool) -> bool {
+    let can_bear_it = plan.is_idempotent
+        && plan.urgency >= Urgency::DEFAULT
+        && plan.route.class == RouteClass::Interactive;
+    !pool.cold.is_empty() && (can_bear_it || pool.warm.is_empty())
+}
+
+fn choose_cold(pool: &VersionPool, avoid: Option<&Name>) -> Option<Chosen> {
+    let begin = |cold: &ColdTarget| cold.cell.try_begin(cold.allowance);
+    let usable = pool
+        .cold
+        .iter()
+        .filter(|cold| avoid.is_none_or(|name| *name != cold.cell.id));
+    let in_flight = usable.into_iter().find_map(begin)?;
+    Some(Chosen {
+        in_flight,
+        version: pool.version.clone(),
+        is_cold: true,
+        candidates: pool.cold.len(),
+    })
+}
+
+fn choose_warm<P: Picker, R: Rng>(
+    pool: &VersionPool,
+    picker: &P,
+    view: &PickView<'_>,
+    rng: &mut R,
+) -> Option<Chosen> {
+    let index = picker.pick(&pool.warm, view, rng)?;
+    let cell: &Arc<TargetCell> = pool.warm.get(index)?;
+    Some(Chosen {
+        in_flight: cell.try_begin(view.limit)?,
+        version: pool.version.clone(),
+        is_cold: false,
+        candidates: pool.warm.len(),
+    })
+}
+
+/// Bulk transfers hold a slot for long, so they may use only half of a target's slots.
+fn limit(plan: &Plan) -> u32 {
+    let slots = plan.targets.service.slots;
+    match plan.route.class {
+        RouteClass::Interactive => slots.saturating_add(QUEUED_AT_TARGET),
+        RouteClass::Bulk => (slots / 2).max(1),
+    }
+}
--- /dev/null
+++ b/crates/policy/src/least_reported.rs
@@ -0,0 +1,33 @@
+//! Chooses the least reported load; a baseline.
+
+use crate::{PickView, Picker};
+use heatherhinge_blackboard::TargetCell;
+use rand::{Rng, RngExt};
+use std::sync::Arc;
+
+/// Chooses the target whose last report was lowest, with ties broken at random.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct LeastReported;
+
+impl Picker for LeastReported {
+    fn pick<R: Rng>(
+        &self,
+        targets: &[Arc<TargetCell>],
+        view: &PickView<'_>,
+        rng: &mut R,
+    ) -> Option<usize> {
+        if targets.is_empty() {
+            return None;
+        }
+        let start = rng.random_range(0..targets.len());
+        (0..targets.len())
+            .map(|step| (start + step) % targets.len())
+            .min_by_key(|index| {
+                let cell = &targets[*index];
+                (
+                    view.avoids(cell),
+                    cell.sample(view.now_ns).reported_in_flight,
+                )
+            })
+    }
+}
--- /dev/null
+++ b/crates/policy/src/plan.rs
@@ -0,0 +1,129 @@
+//! From the head of a request to a plan: its service, route, class, deadline and key.
+
+use heatherhinge_blackboard::{RoutingSnapshot, ServiceTargets};
+use heatherhinge_bundle::Route;
+use heatherhinge_types::{Code, MonoNs, RequestKey, Urgency, header};
+use http::{HeaderMap, Method};
+use std::sync::Arc;
+
+/// Longest deadline that a caller may ask for, in milliseconds. Downloads of an hour are the
+/// longest requests of today's users.
+const DEADLINE_MAX_MS: u64 = 3_600_000;
+
+/// What a decision needs to know of a request, whatever carried it.
+#[derive(Clone, Copy, Debug)]
+pub struct RequestFacts<'a> {
+    /// Method.
+    pub method: &'a Method,
+    /// Path without the query, starting with a slash.
+    pub path: &'a str,
+    /// Headers.
+    pub headers: &'a HeaderMap,
+}
+
+/// How a request is to be handled.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    /// The service and its targets in the snapshot.
+    pub targets: Arc<ServiceTargets>,
+    /// The route.
+    pub route: Arc<Route>,
+    /// Whether a second run does no harm.
+    pub is_idempotent: bool,
+    /// The key of a non-idempotent request.
+    pub key: Option<RequestKey>,
+    /// Urgency.
+    pub urgency: Urgency,
+    /// Time by which the caller needs the answer.
+    pub deadline_ns: MonoNs,
+    /// Number of the attempt as the caller states it, from 1. Above 1 the system does not retry,
+    /// so that layers of retries do not multiply.
+    pub caller_attempt: u32,
+}
+
+/// Plans a request, or returns the code with which it is refused.
+///
+/// # Errors
+///
+/// Codes of the family 10xx, and [`Code::BadKey`]; none of them has run.
+pub fn plan(
+    facts: &RequestFacts<'_>,
+    snapshot: &RoutingSnapshot,
+    now_ns: MonoNs,
+) -> Result<Plan, Code> {
+    let (service, rest) = split_path(facts.path);
+    let targets = snapshot.services.get(service).ok_or(Code::UnknownService)?;
+    let route = targets
+        .service
+        .routes
+        .iter()
+        .find(|route| matches_route(route, facts.method, rest))
+        .ok_or(Code::UnknownRoute)?;
+    let is_idempotent = route
+        .idempotent
+        .unwrap_or_else(|| facts.method.is_idempotent());
+    let deadline_ms = deadline_ms(facts.headers, route)?;
+    Ok(Plan {
+        targets: Arc::clone(targets),
+        route: Arc::clone(route),
+        is_idempotent,
+        key: if is_idempotent {
+            None
+        } else {
+            request_key(facts.headers)?
+        },
+        urgency: urgency(facts.headers, route),
+        deadline_ns: now_ns.plus_ms(deadline_ms),
+        caller_attempt: number(facts.headers, header::ATTEMPT).unwrap_or(1),
+    })
+}
+
+/// Splits `/service/rest` into the service and `/rest`.
+fn split_path(path: &str) -> (&str, &str) {
+    let path = path.strip_prefix('/').unwrap_or(path);
+    match path.find('/') {
+        Some(end) => (&path[..end], &path[end..]),
+        None => (path, "/"),
+    }
+}
+
+fn matches_route(route: &Route, method: &Method, rest: &str) -> bool {
+    let method_matches = route.methods.is_empty() || route.methods.contains(method.as_str());
+    method_matches && rest.starts_with(&route.prefix)
+}
+
+fn deadline_ms(headers: &HeaderMap, route: &Route) -> Result<u64, Code> {
+    match headers.get(header::DEADLINE_MS) {
+        None => Ok(route.deadline_ms),
+        Some(_) => match number::<u64>(headers, header::DEADLINE_MS) {
+            Some(ms @ 1..=DEADLINE_MAX_MS) => Ok(ms),
+            _ => Err(Code::BadDeadline),
+        },
+    }
+}
+
+fn request_key(headers: &HeaderMap) -> Result<Option<RequestKey>, Code> {
+    let mut values = headers.get_all(header::IDEMPOTENCY_KEY).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(Code::BadKey);
+    }
+    let text = value.to_str().map_err(|_| Code::BadKey)?;
+    text.parse().map(Some).map_err(|_| Code::BadKey)
+}
+
+fn urgency(headers: &HeaderMap, route: &Route) -> Urgency {
+    match headers
+        .get("priority")
+        .and_then(|value| value.to_str().ok())
+    {
+        Some(value) => Urgency::from_priority_header(value),
+        None => route.urgency,
+    }
+}
+
+fn number<T: std::str::FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.trim().parse().ok()
+}
