Add the HTTP data path of an entry host

Cause: the decisions need a path from a caller's socket to a target's and back, in the shape that the design sets down, before other parts can be tried on it. Change: new crate proxy: server for HTTP/1.1 and HTTP/2, wait queues, claims around requests with a key, attempts, retries, streamed answers and records. It is generic over policy, peers, observer and sink. Result: 16 cases over loopback pass: cut, malformed and doubled answers, bad, slow, oversized and smuggled requests, and a stop with a request in flight. With both a length and chunked framing hyper drops the length, so the first version of that case (a refusal) failed; the case now checks what the target receives. Conclusion: the path stands; time added to a call is not measured yet.

--- a/crates/policy/src/outcome.rs
+++ b/crates/policy/src/outcome.rs
@@ -24,6 +24,8 @@
     DeadlinePassed,
     /// The answer is malformed.
     BadAnswer,
+    /// The caller's body broke off while the target was reading it.
+    CallerBroke,
     /// The claim's lease ended before the request was sent.
     LeaseEnded,
 }
@@ -50,6 +52,7 @@
             Self::Broke => Some(Code::TargetBroke),
             Self::DeadlinePassed => Some(Code::DeadlinePassed),
             Self::BadAnswer => Some(Code::BadAnswer),
+            Self::CallerBroke => Some(Code::RequestBodyCut),
             Self::LeaseEnded => Some(Code::LeaseEnded),
         }
     }
@@ -60,7 +63,7 @@
         match self {
             Self::Answered { status, .. } => status >= 500,
             Self::Shed | Self::Unreachable | Self::Broke | Self::BadAnswer => true,
-            Self::Expired | Self::DeadlinePassed | Self::LeaseEnded => false,
+            Self::Expired | Self::DeadlinePassed | Self::CallerBroke | Self::LeaseEnded => false,
         }
     }
 
@@ -73,7 +76,7 @@
                 is_retried_below,
             } => !is_retried_below && matches!(status, 500 | 502 | 503 | 504),
             Self::Shed | Self::Unreachable | Self::Broke | Self::BadAnswer => true,
-            Self::Expired | Self::DeadlinePassed | Self::LeaseEnded => false,
+            Self::Expired | Self::DeadlinePassed | Self::CallerBroke | Self::LeaseEnded => false,
         }
     }
 }
--- /dev/null
+++ b/crates/proxy/src/answer_body.rs
@@ -0,0 +1,148 @@
+//! The answer body on its way to a caller.
+
+use axum::body::Body as AdminBody;
+use bytes::Bytes;
+use heatherhinge_blackboard::InFlight;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use std::fmt;
+use std::future::Future;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use std::time::Duration;
+use tokio::sync::Notify;
+use tokio::time::{Instant, Sleep, sleep};
+
+/// Body of any answer of an entry host.
+#[derive(Debug)]
+pub enum ServerBody {
+    /// A body that is in memory.
+    Full(Option<Bytes>),
+    /// An answer of a target, streamed.
+    Answer(Pin<Box<AnswerBody>>),
+    /// An answer of the admin endpoints.
+    Admin(AdminBody),
+}
+
+/// Why an answer could not be passed on as a whole. The caller's connection is then reset, so that
+/// a cut answer is never taken for a complete one.
+#[derive(Debug)]
+pub enum AnswerBodyError {
+    /// The target's connection broke.
+    Broken(hyper::Error),
+    /// The target sent nothing for too long.
+    Stalled,
+    /// An admin answer failed.
+    Admin(axum::Error),
+}
+
+impl fmt::Display for AnswerBodyError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Broken(error) => write!(f, "the answer broke: {error}"),
+            Self::Stalled => f.write_str("the target sent nothing for too long"),
+            Self::Admin(error) => write!(f, "the admin answer failed: {error}"),
+        }
+    }
+}
+
+impl std::error::Error for AnswerBodyError {}
+
+/// A streamed answer. The request counts as in flight at the target until the body ends.
+#[derive(Debug)]
+pub struct AnswerBody {
+    incoming: Incoming,
+    idle: Duration,
+    stalled_at: Pin<Box<Sleep>>,
+    // Declared in this order so that the request has left the target when waiters are woken.
+    _in_flight: InFlight,
+    _wake: WakeOnDrop,
+}
+
+/// Wakes a request that waits for a target when another one has ended.
+#[derive(Debug)]
+pub(crate) struct WakeOnDrop(pub(crate) Arc<Notify>);
+
+impl Drop for WakeOnDrop {
+    fn drop(&mut self) {
+        self.0.notify_one();
+    }
+}
+
+impl AnswerBody {
+    pub(crate) fn new(
+        incoming: Incoming,
+        idle: Duration,
+        in_flight: InFlight,
+        wake: WakeOnDrop,
+    ) -> Self {
+        let stalled_at = Box::pin(sleep(idle));
+        Self {
+            incoming,
+            idle,
+            stalled_at,
+            _in_flight: in_flight,
+            _wake: wake,
+        }
+    }
+
+    fn poll_answer(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        match Pin::new(&mut self.incoming).poll_frame(cx) {
+            Poll::Ready(frame) => {
+                let until = Instant::now() + self.idle;
+                self.stalled_at.as_mut().reset(until);
+                Poll::Ready(frame.map(|frame| frame.map_err(AnswerBodyError::Broken)))
+            }
+            Poll::Pending => match self.stalled_at.as_mut().poll(cx) {
+                Poll::Ready(()) => Poll::Ready(Some(Err(AnswerBodyError::Stalled))),
+                Poll::Pending => Poll::Pending,
+            },
+        }
+    }
+}
+
+impl ServerBody {
+    /// Makes a body that is in memory.
+    #[must_use]
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::Full(Some(bytes.into()))
+    }
+}
+
+impl Body for ServerBody {
+    type Data = Bytes;
+    type Error = AnswerBodyError;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, AnswerBodyError>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Answer(body) => body.as_mut().poll_answer(cx),
+            Self::Admin(body) => Pin::new(body)
+                .poll_frame(cx)
+                .map(|frame| frame.map(|frame| frame.map_err(AnswerBodyError::Admin))),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Answer(body) => body.incoming.is_end_stream(),
+            Self::Admin(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Answer(body) => body.incoming.size_hint(),
+            Self::Admin(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/attempt.rs
@@ -0,0 +1,117 @@
+//! One attempt at a target.
+
+use crate::headers::{AttemptHeaders, Trace, set_attempt, strip_hop_by_hop, target_uri};
+use crate::out_body::OutBody;
+use heatherhinge_blackboard::TargetCell;
+use heatherhinge_policy::AttemptOutcome;
+use heatherhinge_types::{LoadReport, header};
+use http::request::Parts;
+use http::{HeaderMap, Request, Response, Version};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use rand::Rng;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// The client that holds the connections to targets.
+pub(crate) type TargetClient = Client<HttpConnector, OutBody>;
+
+/// What one attempt brought.
+#[derive(Debug)]
+pub(crate) struct AttemptResult {
+    pub(crate) outcome: AttemptOutcome,
+    pub(crate) report: Option<LoadReport>,
+    pub(crate) response: Option<Response<Incoming>>,
+    pub(crate) latency_ns: u64,
+}
+
+impl AttemptResult {
+    /// Makes the result of an attempt that brought no answer.
+    pub(crate) const fn nothing(outcome: AttemptOutcome) -> Self {
+        Self {
+            outcome,
+            report: None,
+            response: None,
+            latency_ns: 0,
+        }
+    }
+}
+
+/// Makes the request of one attempt.
+pub(crate) fn attempt_request<R: Rng>(
+    head: &Parts,
+    body: OutBody,
+    target: &TargetCell,
+    trace: &Trace,
+    attempt: AttemptHeaders,
+    rng: &mut R,
+) -> Result<Request<OutBody>, http::Error> {
+    let mut headers: HeaderMap = head.headers.clone();
+    strip_hop_by_hop(&mut headers);
+    set_attempt(&mut headers, trace, attempt, rng);
+    headers.remove(http::header::HOST);
+    let mut request = Request::new(body);
+    *request.method_mut() = head.method.clone();
+    *request.uri_mut() = target_uri(&head.uri, target.addr)?;
+    *request.version_mut() = Version::HTTP_11;
+    *request.headers_mut() = headers;
+    Ok(request)
+}
+
+/// Sends one attempt and waits for the head of the answer.
+pub(crate) async fn send(
+    client: &TargetClient,
+    request: Request<OutBody>,
+    deadline: Duration,
+) -> AttemptResult {
+    match timeout(deadline, client.request(request)).await {
+        Err(_elapsed) => AttemptResult::nothing(AttemptOutcome::DeadlinePassed),
+        Ok(Err(error)) => AttemptResult::nothing(failure(&error)),
+        Ok(Ok(response)) => answered(response),
+    }
+}
+
+fn answered(mut response: Response<Incoming>) -> AttemptResult {
+    let headers = response.headers_mut();
+    let report = headers
+        .get(header::LOAD)
+        .and_then(|value| value.to_str().ok())
+        .and_then(|value| value.parse().ok());
+    let is_set = |name| {
+        headers
+            .get(name)
+            .is_some_and(|value| value.as_bytes() == b"1")
+    };
+    let (is_not_run, is_retried_below) = (is_set(header::NOT_RUN), is_set(header::RETRIED));
+    strip_hop_by_hop(headers);
+    let status = response.status().as_u16();
+    let outcome = match status {
+        425 | 429 | 503 if is_not_run => AttemptOutcome::Shed,
+        504 if is_not_run => AttemptOutcome::Expired,
+        _ => AttemptOutcome::Answered {
+            status,
+            is_retried_below,
+        },
+    };
+    AttemptResult {
+        outcome,
+        report,
+        response: Some(response),
+        latency_ns: 0,
+    }
+}
+
+/// Only a failure to connect proves that nothing was sent. A request on a pooled connection that
+/// the target had just closed may have been read.
+fn failure(error: &hyper_util::client::legacy::Error) -> AttemptOutcome {
+    if error.is_connect() {
+        return AttemptOutcome::Unreachable;
+    }
+    let source = std::error::Error::source(error).and_then(|e| e.downcast_ref::<hyper::Error>());
+    match source {
+        Some(error) if error.is_parse() => AttemptOutcome::BadAnswer,
+        Some(error) if error.is_user() => AttemptOutcome::CallerBroke,
+        _ => AttemptOutcome::Broke,
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/claimed.rs
@@ -0,0 +1,41 @@
+//! Requests with an idempotency key: claim, run once, settle, replay.
+
+use crate::ServerBody;
+use bytes::Bytes;
+use heatherhinge_claims::StoredAnswer;
+use heatherhinge_types::header;
+use http::{HeaderName, HeaderValue, Response, StatusCode};
+
+/// Largest answer body that is kept for a resend, in bytes.
+pub(crate) const STORED_BODY_MAX_BYTES: u64 = 4_096;
+
+/// Copies an answer so that the owner of the key can repeat it.
+pub(crate) fn stored_answer(head: &http::response::Parts, body: &Bytes) -> StoredAnswer {
+    let headers = head
+        .headers
+        .iter()
+        .filter(|(name, _)| name.as_str() != header::LOAD)
+        .map(|(name, value)| (name.as_str().to_owned(), value.as_bytes().to_vec()))
+        .collect();
+    StoredAnswer {
+        status: head.status.as_u16(),
+        headers,
+        body: body.to_vec(),
+    }
+}
+
+/// Makes the answer to a resend from the stored one. `None` if it was damaged on the way.
+pub(crate) fn replay(stored: StoredAnswer) -> Option<Response<ServerBody>> {
+    let mut response = Response::new(ServerBody::full(stored.body));
+    *response.status_mut() = StatusCode::from_u16(stored.status).ok()?;
+    for (name, value) in stored.headers {
+        let name: HeaderName = name.parse().ok()?;
+        response
+            .headers_mut()
+            .append(name, HeaderValue::from_bytes(&value).ok()?);
+    }
+    response
+        .headers_mut()
+        .insert(header::REPLAYED, HeaderValue::from_static("1"));
+    Some(response)
+}
--- /dev/null
+++ b/crates/proxy/src/clock.rs
@@ -0,0 +1,40 @@
+//! The clocks of the process, read here and nowhere else on the data path.
+
+use heatherhinge_types::{MonoNs, Now, WallMs};
+use std::time::{Instant, SystemTime, UNIX_EPOCH};
+
+/// Reads the monotonic and the wall clock.
+#[derive(Clone, Copy, Debug)]
+pub struct Clock {
+    origin: Instant,
+}
+
+impl Clock {
+    /// Starts a clock whose monotonic time begins at 1 second, so that 0 can mean "never".
+    #[must_use]
+    pub fn start() -> Self {
+        Self {
+            origin: Instant::now(),
+        }
+    }
+
+    /// Reads the monotonic clock.
+    #[must_use]
+    pub fn mono_ns(&self) -> MonoNs {
+        let elapsed_ns = u64::try_from(self.origin.elapsed().as_nanos()).unwrap_or(u64::MAX);
+        MonoNs::from_ms(1_000).plus_ns(elapsed_ns)
+    }
+
+    /// Reads both clocks.
+    #[must_use]
+    pub fn now(&self) -> Now {
+        let since_epoch = SystemTime::now()
+            .duration_since(UNIX_EPOCH)
+            .unwrap_or_default();
+        let wall_ms = u64::try_from(since_epoch.as_millis()).unwrap_or(u64::MAX);
+        Now {
+            mono_ns: self.mono_ns(),
+            wall_ms: WallMs(wall_ms),
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/out_body.rs
@@ -0,0 +1,109 @@
+//! The request body on its way to a target.
+
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use std::pin::Pin;
+use std::task::{Context, Poll};
+
+/// A body of which the first part is in memory and the rest still arrives.
+#[derive(Debug)]
+pub(crate) struct OutBody {
+    prefix: Bytes,
+    rest: Option<Incoming>,
+    left_bytes: u64,
+}
+
+/// Why a body could not be passed on as a whole.
+#[derive(Debug)]
+pub(crate) enum OutBodyError {
+    /// The caller's connection broke.
+    Broken(hyper::Error),
+    /// The body is larger than the route allows.
+    TooLarge,
+}
+
+impl std::fmt::Display for OutBodyError {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Broken(error) => write!(f, "the request body broke: {error}"),
+            Self::TooLarge => f.write_str("the request body is larger than the route allows"),
+        }
+    }
+}
+
+impl std::error::Error for OutBodyError {}
+
+impl OutBody {
+    /// Makes a body that is wholly in memory.
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        Self {
+            prefix: bytes,
+            rest: None,
+            left_bytes: 0,
+        }
+    }
+
+    /// Makes a body of which at most `left_bytes` are still to come.
+    pub(crate) fn streamed(prefix: Bytes, rest: Incoming, left_bytes: u64) -> Self {
+        Self {
+            prefix,
+            rest: Some(rest),
+            left_bytes,
+        }
+    }
+
+    fn poll_rest(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, OutBodyError>>> {
+        let Some(rest) = self.rest.as_mut() else {
+            return Poll::Ready(None);
+        };
+        let polled = Pin::new(rest).poll_frame(cx);
+        let Poll::Ready(Some(Ok(frame))) = polled else {
+            return polled.map(|frame| frame.map(|frame| frame.map_err(OutBodyError::Broken)));
+        };
+        let size = frame.data_ref().map_or(0, Bytes::len) as u64;
+        match self.left_bytes.checked_sub(size) {
+            Some(left_bytes) => {
+                self.left_bytes = left_bytes;
+                Poll::Ready(Some(Ok(frame)))
+            }
+            None => Poll::Ready(Some(Err(OutBodyError::TooLarge))),
+        }
+    }
+}
+
+impl Body for OutBody {
+    type Data = Bytes;
+    type Error = OutBodyError;
+
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, OutBodyError>>> {
+        if !self.prefix.is_empty() {
+            let prefix = std::mem::take(&mut self.prefix);
+            return Poll::Ready(Some(Ok(Frame::data(prefix))));
+        }
+        self.poll_rest(cx)
+    }
+
+    fn is_end_stream(&self) -> bool {
+        self.prefix.is_empty() && self.rest.as_ref().is_none_or(Body::is_end_stream)
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        let prefix = self.prefix.len() as u64;
+        let Some(rest) = &self.rest else {
+            return SizeHint::with_exact(prefix);
+        };
+        let (inner, mut hint) = (rest.size_hint(), SizeHint::new());
+        hint.set_lower(prefix + inner.lower());
+        if let Some(upper) = inner.upper() {
+            hint.set_upper(prefix + upper);
+        }
+        hint
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/request.rs
@@ -0,0 +1,101 @@
+//! Reading a request so far that it can be decided on.
+
+use crate::Limits;
+use crate::out_body::OutBody;
+use bytes::{Bytes, BytesMut};
+use heatherhinge_types::{Code, Digest};
+use http::request::Parts;
+use http_body::Body;
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::time::timeout;
+
+/// The body of a request, read as far as the buffer goes.
+#[derive(Debug)]
+pub(crate) enum RequestBody {
+    /// The whole body is in memory and can be sent again.
+    Whole(Bytes),
+    /// The rest still arrives, so the body can be sent once.
+    Streamed {
+        /// What has arrived.
+        prefix: Bytes,
+        /// What still arrives, until it has been handed to an attempt.
+        rest: Option<Incoming>,
+        /// Most bytes that may still arrive.
+        left_bytes: u64,
+    },
+}
+
+impl RequestBody {
+    /// Reads a body up to the buffer limit.
+    ///
+    /// # Errors
+    ///
+    /// Codes of the family 10xx when the body is too large, too slow or broken.
+    pub(crate) async fn read(
+        mut incoming: Incoming,
+        limit_bytes: u64,
+        limits: &Limits,
+    ) -> Result<Self, Code> {
+        if incoming.size_hint().lower() > limit_bytes {
+            return Err(Code::BodyTooLarge);
+        }
+        let mut prefix = BytesMut::new();
+        while !incoming.is_end_stream() && prefix.len() < limits.buffer_bytes {
+            let next = timeout(limits.idle(), incoming.frame()).await;
+            match next.map_err(|_| Code::SlowRequestBody)? {
+                None => return Ok(Self::Whole(prefix.freeze())),
+                Some(Err(_)) => return Err(Code::BrokenRequestBody),
+                Some(Ok(frame)) => {
+                    if let Ok(data) = frame.into_data() {
+                        prefix.extend_from_slice(&data);
+                    }
+                }
+            }
+            if prefix.len() as u64 > limit_bytes {
+                return Err(Code::BodyTooLarge);
+            }
+        }
+        let prefix = prefix.freeze();
+        if incoming.is_end_stream() {
+            return Ok(Self::Whole(prefix));
+        }
+        let left_bytes = limit_bytes - prefix.len() as u64;
+        Ok(Self::Streamed {
+            prefix,
+            rest: Some(incoming),
+            left_bytes,
+        })
+    }
+
+    /// Returns whether the body can be sent again.
+    pub(crate) const fn can_replay(&self) -> bool {
+        matches!(self, Self::Whole(_))
+    }
+
+    /// Returns the body for one attempt, or `None` if it was streamed to an earlier one.
+    pub(crate) fn for_attempt(&mut self) -> Option<OutBody> {
+        match self {
+            Self::Whole(bytes) => Some(OutBody::whole(bytes.clone())),
+            Self::Streamed {
+                prefix,
+                rest,
+                left_bytes,
+            } => {
+                let rest = rest.take()?;
+                Some(OutBody::streamed(std::mem::take(prefix), rest, *left_bytes))
+            }
+        }
+    }
+
+    /// Returns the digest that names the request: method, path with query, and what is buffered.
+    /// The path begins with the service.
+    pub(crate) fn digest(&self, head: &Parts) -> Digest {
+        let (Self::Whole(bytes) | Self::Streamed { prefix: bytes, .. }) = self;
+        let path = head
+            .uri
+            .path_and_query()
+            .map_or("/", http::uri::PathAndQuery::as_str);
+        Digest::of_parts(&[head.method.as_str().as_bytes(), path.as_bytes(), bytes])
+    }
+}
--- /dev/null
+++ b/crates/proxy/src/story.rs
@@ -0,0 +1,59 @@
+//! The records of one request, kept together until it is known whether they are kept at all.
+
+use heatherhinge_blackboard::Basis;
+use heatherhinge_records::{Record, RecordBasis, RecordEvent, RecordSink, Subject};
+use heatherhinge_types::{Digest, Name, WallMs};
+
+/// One in this many plain successes is recorded.
+const SAMPLE_EVERY: u128 = 100;
+
+/// The decisions about one request so far.
+#[derive(Debug)]
+pub(crate) struct Story {
+    request_id: Name,
+    host: Name,
+    records: Vec<Record>,
+    is_plain: bool,
+}
+
+impl Story {
+    pub(crate) fn new(request_id: Name, host: Name) -> Self {
+        Self {
+            request_id,
+            host,
+            records: Vec::new(),
+            is_plain: true,
+        }
+    }
+
+    /// Adds a decision that belongs to a plain success.
+    pub(crate) fn add(&mut self, at_wall_ms: WallMs, basis: Basis, event: RecordEvent) {
+        self.records.push(Record {
+            at_wall_ms,
+            host: self.host.clone(),
+            subject: Subject::Request(self.request_id.clone()),
+            basis: RecordBasis::new(basis, 0),
+            event,
+        });
+    }
+
+    /// Adds a decision that is always kept, and with it the whole story.
+    pub(crate) fn add_kept(&mut self, at_wall_ms: WallMs, basis: Basis, event: RecordEvent) {
+        self.is_plain = false;
+        self.add(at_wall_ms, basis, event);
+    }
+
+    /// Hands the records in, or drops them if the request was a plain success that is not sampled.
+    pub(crate) fn finish<S: RecordSink>(self, sink: &S) {
+        // By the digest of the id, so that all hosts keep the same requests.
+        let is_sampled = Digest::of(self.request_id.as_bytes())
+            .0
+            .is_multiple_of(SAMPLE_EVERY);
+        if self.is_plain && !is_sampled {
+            return;
+        }
+        for record in self.records {
+            sink.record(record);
+        }
+    }
+}
--- /dev/null
+++ b/crates/proxy/tests/path.rs
@@ -0,0 +1,276 @@
+//! The path of a request over loopback sockets, against a target that speaks raw bytes.
+
+#![allow(
+    clippy::unwrap_used,
+    clippy::panic,
+    reason = "a failed unwrap fails the test"
+)]
+
+use heatherhinge_blackboard::{
+    Blackboard, Warmth, WarmthTable, Writers, ZoneEntry, ZonePhase, ZoneTable,
+};
+use heatherhinge_bundle::{Budget, Bundle, BundleVersion, Route, RouteClass, Service};
+use heatherhinge_bundle::{Zone, ZoneState};
+use heatherhinge_controllers::{Controller, ListedTarget, TargetController, TargetEvent};
+use heatherhinge_policy::Weighted;
+use heatherhinge_proxy::{
+    Clock, Limits, NoPeers, NullObserver, Proxy, ProxyParts, Server, ServerHandle,
+};
+use heatherhinge_records::NullSink;
+use heatherhinge_types::{MonoNs, Name, StartId, Urgency};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
+use yare::parameterized;
+
+fn bundle() -> Bundle {
+    let north = Name::from("north");
+    let route = Route {
+        name: Name::from("all"),
+        prefix: "/".to_owned(),
+        methods: BTreeSet::new(),
+        idempotent: None,
+        class: RouteClass::Interactive,
+        urgency: Urgency::DEFAULT,
+        body_limit_bytes: 100_000,
+        deadline_ms: 5_000,
+    };
+    let service = Service {
+        name: Name::from("orders"),
+        zones: BTreeSet::from([north.clone()]),
+        version: Name::from("v1"),
+        slots: 5,
+        connections: 200,
+        warm_ms: 0,
+        queue_ms: 100,
+        queue_len: 10,
+        routes: vec![Arc::new(route)],
+        version_move: None,
+    };
+    Bundle {
+        version: BundleVersion(1),
+        zones: BTreeMap::from([(
+            north,
+            Zone {
+                state: ZoneState::In,
+            },
+        )]),
+        services: BTreeMap::from([(Name::from("orders"), Arc::new(service))]),
+        budget: Budget {
+            probes_per_s: 1,
+            retry_permille: 100,
+            lease_ms: 120_000,
+        },
+        revoked_keys: BTreeSet::new(),
+    }
+}
+
+fn publish(board: &Blackboard, writers: Writers, target: SocketAddr) {
+    let Writers {
+        mut bundle,
+        mut zones,
+        mut warmth,
+        routing,
+        ..
+    } = writers;
+    let entry = ZoneEntry {
+        phase: ZonePhase::In,
+        since: BundleVersion(1),
+    };
+    bundle.publish(Some(Arc::new(self::bundle())));
+    zones.publish(ZoneTable {
+        zones: BTreeMap::from([(Name::from("north"), entry)]),
+    });
+    let warm = Warmth::Warm {
+        start_id: StartId(1),
+    };
+    warmth.publish(WarmthTable {
+        targets: [(Name::from(target.to_string()), warm)].into(),
+    });
+    let listed = ListedTarget {
+        service: Name::from("orders"),
+        addr: target,
+        zone: Name::from("north"),
+        version: Name::from("v1"),
+        is_leaving: false,
+    };
+    let now = Clock::start().now();
+    TargetController::new(routing).step(board, TargetEvent::Listed(vec![listed]), now);
+    board
+        .counters
+        .status
+        .set_phase(heatherhinge_blackboard::HostPhase::Serving);
+    board.counters.status.set_fresh_until(MonoNs(u64::MAX));
+}
+
+async fn entry_host(target: SocketAddr) -> ServerHandle {
+    let (board, writers) = Blackboard::new(Name::from("entry-1"), Name::from("north"));
+    publish(&board, writers, target);
+    let proxy = Proxy::new(ProxyParts {
+        board,
+        picker: Weighted,
+        peers: Arc::new(NoPeers),
+        records: NullSink,
+        observer: NullObserver,
+        clock: Clock::start(),
+        limits: Limits {
+            idle_ms: 1_000,
+            ..Limits::default()
+        },
+        seed: 1,
+    });
+    let any_port = "127.0.0.1:0".parse().unwrap();
+    Server::bind(any_port, Arc::new(proxy), axum::Router::new())
+        .await
+        .unwrap()
+}
+
+/// A target that answers each connection with fixed bytes and then closes it.
+async fn raw_target(answer: &'static [u8]) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let addr = listener.local_addr().unwrap();
+    tokio::spawn(async move {
+        while let Ok((mut stream, _)) = listener.accept().await {
+            let mut head = [0_u8; 65_536];
+            let _ = stream.read(&mut head).await;
+            let _ = stream.write_all(answer).await;
+        }
+    });
+    addr
+}
+
+async fn exchange(addr: SocketAddr, request: &[u8]) -> String {
+    let mut stream = TcpStream::connect(addr).await.unwrap();
+    stream.write_all(request).await.unwrap();
+    let mut answer = Vec::new();
+    // A reset is the wanted end of a cut answer, so the error is not a failure here.
+    let _ = stream.read_to_end(&mut answer).await;
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+async fn read_head(stream: &mut TcpStream) -> String {
+    let mut head = Vec::new();
+    while !head.ends_with(b"\r\n\r\n") {
+        head.push(stream.read_u8().await.unwrap());
+    }
+    String::from_utf8(head).unwrap()
+}
+
+const GET: &[u8] = b"GET /orders/stock HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n";
+
+/// Guards against an answer that does not come back whole, or headers that leak between hops.
+#[tokio::test]
+async fn whole_answer_comes_back() {
+    let answer =
+        b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\nx-kept: 1\r\nkeep-alive: timeout=9\r\n\r\nbells";
+    let host = entry_host(raw_target(answer).await).await;
+    let got = exchange(host.addr(), GET).await;
+    assert!(got.starts_with("HTTP/1.1 200"), "{got}");
+    assert!(
+        got.contains("x-kept: 1") && got.ends_with("\r\n\r\nbells"),
+        "{got}"
+    );
+    assert!(
+        got.contains("heatherhinge-request-id: ") && !got.contains("keep-alive"),
+        "{got}"
+    );
+    host.stop().await;
+}
+
+/// Guards against answers that are cut or malformed being passed on as whole.
+#[parameterized(
+    cut = { b"HTTP/1.1 200 OK\r\ncontent-length: 50\r\n\r\nbells", "200 OK", None },
+    cut_chunk = { b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n20\r\nbells", "200 OK", None },
+    no_head = { b"", "502", Some("1304") },
+    nonsense = { b"bells and drums\r\n\r\n", "502", Some("1306") },
+    two_lengths = { b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nbells!", "502", Some("1306") },
+)]
+#[test_macro(tokio::test)]
+async fn broken_answer_is_not_whole(answer: &'static [u8], status: &str, code: Option<&str>) {
+    let host = entry_host(raw_target(answer).await).await;
+    let got = exchange(host.addr(), GET).await;
+    assert!(got.lines().next().unwrap_or("").contains(status), "{got}");
+    match code {
+        Some(code) => assert!(got.contains(&format!("heatherhinge-code: {code}")), "{got}"),
+        // The announced length or the last chunk is not there, so no client takes it for whole.
+        None => assert!(
+            !got.contains("\r\n0\r\n") && !got.contains("heatherhinge-code"),
+            "{got}"
+        ),
+    }
+    host.stop().await;
+}
+
+/// Guards against smuggled, oversized, slow and malformed requests reaching a target.
+#[parameterized(
+    two_lengths = { b"POST /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", "400" },
+    length_and_chunked = { b"POST /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ntransfer-encoding: chunked, identity\r\n\r\n0\r\n\r\n", "400" },
+    bad_chunk = { b"PUT /orders/x HTTP/1.1\r\nhost: h\r\ntransfer-encoding: chunked\r\nconnection: close\r\n\r\nzz\r\n", "1008" },
+    short_body = { b"PUT /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 10\r\nconnection: close\r\n\r\nabc", "1005" },
+    body_too_large = { b"PUT /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 100001\r\nconnection: close\r\n\r\n", "1004" },
+    not_http = { b"ring the bells\r\n\r\n", "400" },
+    unknown_service = { b"GET /drums/x HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\r\n", "1001" },
+)]
+#[test_macro(tokio::test)]
+async fn bad_request_is_refused(request: &'static [u8], expected: &str) {
+    let target = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let host = entry_host(target.local_addr().unwrap()).await;
+    let got = exchange(host.addr(), request).await;
+    assert!(got.contains(expected), "{got}");
+    assert!(futures_util::FutureExt::now_or_never(target.accept()).is_none());
+    host.stop().await;
+}
+
+/// Guards against request smuggling: of a length and chunked framing, only one goes on to the target.
+#[tokio::test]
+async fn length_beside_chunked_is_not_passed_on() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let host = entry_host(listener.local_addr().unwrap()).await;
+    let mut caller = TcpStream::connect(host.addr()).await.unwrap();
+    let request = b"PUT /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\n\
+        transfer-encoding: chunked\r\nconnection: close\r\n\r\n2\r\nab\r\n0\r\n\r\n";
+    caller.write_all(request).await.unwrap();
+    let (mut target, _) = listener.accept().await.unwrap();
+    let head = read_head(&mut target).await;
+    let has = |name: &str| head.lines().any(|line| line.starts_with(name));
+    assert!(
+        has("content-length: 2") != has("transfer-encoding: chunked"),
+        "{head}"
+    );
+    assert!(!has("content-length: 3"), "{head}");
+}
+
+/// Guards against a head that is larger than the limit being read on.
+#[tokio::test]
+async fn large_head_is_refused() {
+    let host = entry_host(raw_target(b"").await).await;
+    let mut request = b"GET /orders/x HTTP/1.1\r\nhost: h\r\n".to_vec();
+    for n in 0..2_000 {
+        request.extend_from_slice(format!("x-filler-{n}: {}\r\n", "y".repeat(40)).as_bytes());
+    }
+    let got = exchange(host.addr(), &request).await;
+    assert!(got.is_empty() || got.contains("431"), "{got}");
+    host.stop().await;
+}
+
+/// Guards against a planned stop that cuts a request in flight.
+#[tokio::test]
+async fn stop_finishes_requests_in_flight() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let host = entry_host(listener.local_addr().unwrap()).await;
+    let addr = host.addr();
+    let caller = tokio::spawn(async move { exchange(addr, GET).await });
+    let (mut stream, _) = listener.accept().await.unwrap();
+    read_head(&mut stream).await;
+    let stopping = tokio::spawn(host.stop());
+    tokio::task::yield_now().await;
+    stream
+        .write_all(b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\n\r\nbells")
+        .await
+        .unwrap();
+    stopping.await.unwrap();
+    assert!(caller.await.unwrap().ends_with("bells"));
+    assert!(TcpStream::connect(addr).await.is_err());
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -74,6 +74,7 @@
     BadRequestHead = 1006, BAD_REQUEST, No, "The request head is malformed or its lengths conflict.";
     HeadTooLarge = 1007, REQUEST_HEADER_FIELDS_TOO_LARGE, No, "The request head is larger than allowed.";
     BrokenRequestBody = 1008, BAD_REQUEST, No, "The request body ended before its stated length.";
+    RequestBodyCut = 1009, BAD_REQUEST, Unknown, "The request body broke off while a target was reading it.";
     BadKey = 1101, BAD_REQUEST, No, "The idempotency key is not a UUID of version 7.";
     KeyFromFuture = 1102, BAD_REQUEST, Unknown, "The idempotency key was issued in the future by this host's clock.";
     KeyTooOld = 1103, CONFLICT, Unknown, "The idempotency key is older than claims are kept.";
--- a/crates/types/src/time.rs
+++ b/crates/types/src/time.rs
@@ -28,6 +28,12 @@
         Self(self.0.saturating_add(ms.saturating_mul(1_000_000)))
     }
 
+    /// Returns the time `ns` nanoseconds later.
+    #[must_use]
+    pub const fn plus_ns(self, ns: u64) -> Self {
+        Self(self.0.saturating_add(ns))
+    }
+
     /// Returns the whole milliseconds from `earlier` to this time, or 0 if it is later.
     #[must_use]
     pub const fn ms_since(self, earlier: Self) -> u64 {
