Add the messages by which hosts exchange their records

Cause: the membership controller and the peer protocol are written side by side and need one agreed form of digest and delta. Change: DigestEntry, ExchangeRequest and ExchangeAnswer in crates/blackboard/src/exchange.rs, with serde derives and no codec. Conclusion: the peer protocol can carry the messages before the controller exists.

--- /dev/null
+++ b/crates/blackboard/src/exchange.rs
@@ -0,0 +1,40 @@
+//! Messages by which hosts exchange their records; `docs/design.md`, section 13.
+//!
+//! A host sends a digest of what it knows; the peer answers with its own digest and the records
+//! that are newer than the digest received. Heartbeats travel in the digest, so a host that lives
+//! but has nothing new to say does not send its record again.
+
+use crate::{HostRecord, RecordVersion};
+use heatherhinge_types::Name;
+use serde::{Deserialize, Serialize};
+
+/// What a host knows of one host: which record it holds and the last heartbeat it heard of.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct DigestEntry {
+    /// Name of the host.
+    pub host: Name,
+    /// Version of the record held.
+    pub version: RecordVersion,
+    /// Count of the host's heartbeats in the run that the version names.
+    pub beat: u64,
+}
+
+/// Asks a peer for the records that it holds newer.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeRequest {
+    /// Name of the asking host.
+    pub from: Name,
+    /// What the asking host knows.
+    pub digest: Vec<DigestEntry>,
+    /// Records that the peer is known to lack.
+    pub records: Vec<HostRecord>,
+}
+
+/// Answers an [`ExchangeRequest`].
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ExchangeAnswer {
+    /// What the answering host knows, after it took in the records of the request.
+    pub digest: Vec<DigestEntry>,
+    /// The answering host's own record, and those that are newer than the digest of the request.
+    pub records: Vec<HostRecord>,
+}
--- a/crates/blackboard/src/lib.rs
+++ b/crates/blackboard/src/lib.rs
@@ -8,6 +8,7 @@
 mod board;
 mod counters;
 mod entry;
+mod exchange;
 mod host_record;
 mod host_table;
 mod move_table;
@@ -21,6 +22,7 @@
 pub use board::{Blackboard, Writers};
 pub use counters::{Counters, HostPhase, HostStatus, ServiceCounters};
 pub use entry::{Reader, Snapshot, Versioned, Writer, entry};
+pub use exchange::{DigestEntry, ExchangeAnswer, ExchangeRequest};
 pub use host_record::{
     Evidence, HostRecord, MoveVerdict, Quarantine, RecordVersion, Spend, WarmTarget,
 };
