Add the stand-in for the platform's table service, object store and host list

Cause: the clients and controllers need an outside system to be tested against, and no third-party server may be started. Change: crates/standin-platform with a library and a thin binary. It speaks a subset of DynamoDB's JSON 1.0 protocol (get, put, delete, transaction, scan by prefix; two condition expressions), of the S3 REST protocol (put, get, list) and of Prometheus http_sd. Outages, delays, lost answers, unreadable answers and the lag of the list are switched while it runs. All state belongs to the running instance. It listens on loopback addresses only. Conclusion: contract tests of the clients can be written against it.

--- a/crates/standin-platform/src/lib.rs
+++ b/crates/standin-platform/src/lib.rs
@@ -1,1 +1,42 @@
-//! A stand-in for the platform's services.
+//! A stand-in for the platform's services, for tests and demonstrations on one computer.
+//!
+//! It speaks the published protocols of the three services that heatherhinge uses, each in the
+//! subset that heatherhinge uses:
+//!
+//! - the table service: DynamoDB's JSON 1.0 protocol ([`Table`]);
+//! - the object store: the S3 REST protocol ([`ObjectStore`]);
+//! - the host list: Prometheus' `http_sd` JSON ([`HostList`]).
+//!
+//! Anything outside the subset is an error that says so. Faults are switched on and off while the
+//! stand-in runs ([`FaultSettings`]). All state belongs to one [`RunningPlatform`], so many can run
+//! in one process. See `docs/design.md`, section 3.
+
+mod admin;
+mod condition;
+mod counters;
+mod faults;
+mod host_list;
+mod item;
+mod list_entry;
+mod list_service;
+mod object_service;
+mod object_store;
+mod options;
+mod server;
+mod state;
+mod table;
+mod table_error;
+mod table_request;
+mod table_service;
+
+pub use condition::Condition;
+pub use counters::{Counts, ServiceCounts};
+pub use faults::{FaultSettings, ServiceFaults};
+pub use host_list::HostList;
+pub use item::{ITEM_LIMIT_BYTES, Item};
+pub use list_entry::{ListEntry, TargetGroup};
+pub use object_store::ObjectStore;
+pub use options::{Options, options};
+pub use server::{Listen, RunningPlatform, spawn};
+pub use table::Table;
+pub use table_error::TableError;
--- /dev/null
+++ b/crates/standin-platform/src/server.rs
@@ -0,0 +1,182 @@
+//! Listeners of a running stand-in.
+
+use crate::faults::AnswerLost;
+use crate::state::State;
+use crate::{
+    Counts, FaultSettings, Options, TargetGroup, admin, list_service, object_service, table_service,
+};
+use axum::Router;
+use axum::body::Body;
+use axum::response::Response;
+use eyre::{WrapErr, ensure};
+use hyper::body::Incoming;
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tower::Service;
+
+/// Pause after a connection could not be accepted.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(100);
+
+/// Addresses to listen on; port 0 lets the system choose.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Listen {
+    /// All services share one address.
+    Together(SocketAddr),
+    /// Each service has its own address; admin calls are taken on each.
+    Apart {
+        /// Address of the table service.
+        table: SocketAddr,
+        /// Address of the object store.
+        objects: SocketAddr,
+        /// Address of the host list.
+        list: SocketAddr,
+    },
+}
+
+/// A running stand-in. Dropping it stops it and closes all connections.
+#[derive(Debug)]
+pub struct RunningPlatform {
+    /// Address of the table service.
+    pub table_addr: SocketAddr,
+    /// Address of the object store.
+    pub objects_addr: SocketAddr,
+    /// Address of the host list.
+    pub list_addr: SocketAddr,
+    state: Arc<State>,
+    tasks: JoinSet<()>,
+}
+
+impl RunningPlatform {
+    /// Switches the faults of the services that the settings name.
+    pub fn set_faults(&self, settings: FaultSettings) {
+        admin::apply_faults(&self.state, settings);
+    }
+
+    /// Registers or changes entries of the host list.
+    ///
+    /// # Errors
+    ///
+    /// A sentence that names the label or address that is wrong; nothing is registered then.
+    pub fn register(&self, groups: &[TargetGroup]) -> Result<(), String> {
+        admin::register_groups(&self.state, groups)
+    }
+
+    /// Returns the counts of calls.
+    #[must_use]
+    pub fn counts(&self) -> Counts {
+        self.state.counts()
+    }
+
+    /// Waits for as long as the stand-in serves.
+    pub async fn stopped(&mut self) {
+        while self.tasks.join_next().await.is_some() {}
+    }
+}
+
+/// Binds the addresses and starts to serve.
+///
+/// # Errors
+///
+/// An address cannot be bound or is not a loopback address.
+pub async fn spawn(options: &Options) -> eyre::Result<RunningPlatform> {
+    let state = Arc::new(State::new(
+        &options.table,
+        &options.bucket,
+        options.list_lag_ms,
+    ));
+    let table = table_service::routes();
+    let objects = object_service::routes(&options.bucket);
+    let list = list_service::routes();
+    let mut tasks = JoinSet::new();
+    let mut listen = async |addr, routes: Router<Arc<State>>| {
+        let router = routes.merge(admin::routes()).with_state(Arc::clone(&state));
+        listen_on(addr, router, &mut tasks).await
+    };
+    let (table_addr, objects_addr, list_addr) = match options.listen {
+        Listen::Together(addr) => {
+            let addr = listen(addr, table.merge(objects).merge(list)).await?;
+            (addr, addr, addr)
+        }
+        Listen::Apart {
+            table: table_addr,
+            objects: objects_addr,
+            list: list_addr,
+        } => (
+            listen(table_addr, table).await?,
+            listen(objects_addr, objects).await?,
+            listen(list_addr, list).await?,
+        ),
+    };
+    Ok(RunningPlatform {
+        table_addr,
+        objects_addr,
+        list_addr,
+        state,
+        tasks,
+    })
+}
+
+async fn listen_on(
+    addr: SocketAddr,
+    router: Router,
+    tasks: &mut JoinSet<()>,
+) -> eyre::Result<SocketAddr> {
+    ensure!(addr.ip().is_loopback(), "{addr} is not a loopback address");
+    let listener = TcpListener::bind(addr)
+        .await
+        .wrap_err_with(|| format!("cannot listen on {addr}"))?;
+    let bound = listener.local_addr()?;
+    tasks.spawn(accept(listener, router));
+    Ok(bound)
+}
+
+async fn accept(listener: TcpListener, router: Router) {
+    let mut connections = JoinSet::new();
+    loop {
+        tokio::select! {
+            accepted = listener.accept() => match accepted {
+                Ok((stream, _)) => {
+                    connections.spawn(serve(stream, router.clone()));
+                }
+                Err(error) => {
+                    // Running out of file descriptors passes; the pause keeps the loop from spinning.
+                    tracing::warn!(%error, "standin-platform: accepting a connection failed");
+                    tokio::time::sleep(ACCEPT_PAUSE).await;
+                }
+            },
+            Some(_) = connections.join_next() => {}
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, router: Router) {
+    let service = service_fn(move |request| answer(router.clone(), request));
+    // A connection that is closed on purpose ends with an error, which is not worth a log line.
+    let _ = http1::Builder::new()
+        .serve_connection(TokioIo::new(stream), service)
+        .await;
+}
+
+/// Answers one request; an error closes the connection without an answer.
+async fn answer(
+    mut router: Router,
+    request: hyper::Request<Incoming>,
+) -> Result<Response, std::io::Error> {
+    // The call runs in a task of its own, so that a write whose caller gave up still takes effect.
+    let call = tokio::spawn(async move { router.call(request.map(Body::new)).await });
+    let response = match call.await {
+        Ok(Ok(response)) => response,
+        Ok(Err(never)) => match never {},
+        Err(error) => return Err(std::io::Error::other(error)),
+    };
+    if response.extensions().get::<AnswerLost>().is_some() {
+        return Err(std::io::Error::other("the answer is lost on purpose"));
+    }
+    Ok(response)
+}
--- /dev/null
+++ b/crates/standin-platform/src/state.rs
@@ -0,0 +1,62 @@
+//! The state of one running stand-in.
+
+use crate::faults::FaultSwitch;
+use crate::{Counts, HostList, ObjectStore, ServiceCounts, Table};
+use std::sync::atomic::AtomicU64;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+/// One service: its data, faults and counts.
+#[derive(Debug, Default)]
+pub(crate) struct Service<T> {
+    data: Mutex<T>,
+    pub(crate) faults: FaultSwitch,
+    pub(crate) counts: ServiceCounts,
+}
+
+impl<T> Service<T> {
+    fn new(data: T) -> Self {
+        Self {
+            data: Mutex::new(data),
+            faults: FaultSwitch::default(),
+            counts: ServiceCounts::default(),
+        }
+    }
+
+    /// Locks the data for the length of one call.
+    pub(crate) fn data(&self) -> MutexGuard<'_, T> {
+        self.data.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Everything that one running stand-in holds.
+#[derive(Debug)]
+pub(crate) struct State {
+    pub(crate) bucket: String,
+    pub(crate) table: Service<Table>,
+    pub(crate) objects: Service<ObjectStore>,
+    pub(crate) list: Service<HostList>,
+    pub(crate) list_lag_ms: AtomicU64,
+}
+
+impl State {
+    pub(crate) fn new(table: &str, bucket: &str, list_lag_ms: u64) -> Self {
+        Self {
+            bucket: bucket.to_owned(),
+            table: Service::new(Table::new(table)),
+            objects: Service::new(ObjectStore::default()),
+            list: Service::new(HostList::default()),
+            list_lag_ms: AtomicU64::new(list_lag_ms),
+        }
+    }
+
+    pub(crate) fn counts(&self) -> Counts {
+        Counts {
+            table_reads: self.table.counts.reads(),
+            table_writes: self.table.counts.writes(),
+            object_reads: self.objects.counts.reads(),
+            object_writes: self.objects.counts.writes(),
+            list_reads: self.list.counts.reads(),
+            list_writes: self.list.counts.writes(),
+        }
+    }
+}
