--- a/crates/claims/src/message.rs
+++ b/crates/claims/src/message.rs
@@ -3,6 +3,19 @@
 use heatherhinge_types::{Digest, Name, RequestKey, WallMs};
 use serde::{Deserialize, Serialize};
 
+/// Tells the attempts of one sender apart, over its restarts too.
+///
+/// The sender chooses it, so that it can give a claim back even when the answer to its claim was
+/// lost, and so that a repeated claim message is recognised. A sender acts on at most one grant of
+/// an attempt, and on none after it has settled the attempt.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct AttemptId {
+    /// Wall time of the sender's start in milliseconds, which tells its runs apart.
+    pub incarnation: u64,
+    /// Counts the attempts of one run.
+    pub sequence: u64,
+}
+
 /// Asks the owner of a key's partition for the right to run the request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ClaimRequest {
@@ -12,6 +25,8 @@
     pub digest: Digest,
     /// The host that will send the request to a target.
     pub sender: Name,
+    /// The attempt of that host.
+    pub attempt: AttemptId,
 }
 
 /// What the owner decided.
@@ -44,6 +59,18 @@
     pub body: Vec<u8>,
 }
 
+impl StoredAnswer {
+    /// Returns the size that counts towards the limits on kept answers.
+    #[must_use]
+    pub fn size_bytes(&self) -> usize {
+        let headers = self
+            .headers
+            .iter()
+            .map(|(name, value)| name.len() + value.len());
+        self.body.len() + headers.sum::<usize>()
+    }
+}
+
 /// Tells the owner how a claimed request ended.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Settlement {
@@ -53,6 +80,8 @@
     pub digest: Digest,
     /// The host that held the claim.
     pub sender: Name,
+    /// The attempt that the claim was granted to; a claim of another attempt is left alone.
+    pub attempt: AttemptId,
     /// How it ended.
     pub outcome: Outcome,
 }
@@ -67,3 +96,14 @@
     /// It may have run.
     Unknown,
 }
+
+/// What became of a settlement.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum SettleAnswer {
+    /// The claim was settled.
+    Settled,
+    /// The claim belongs to another attempt or was settled before; nothing changed.
+    Stale,
+    /// This host has no such claim. The sender may tell the owner that it now knows of.
+    NotHeld,
+}
--- /dev/null
+++ b/crates/claims/src/partition_claims.rs
@@ -0,0 +1,73 @@
+//! The claims of one partition.
+
+use crate::claim::Claim;
+use crate::{HandedPartition, Tenure, TenureId};
+use heatherhinge_types::{RequestKey, WallMs};
+use std::collections::BTreeMap;
+
+/// Claims of one partition in the order of issue times, and what bounds their completeness.
+#[derive(Debug, Default)]
+pub(crate) struct PartitionClaims {
+    pub(crate) claims: BTreeMap<RequestKey, Claim>,
+    /// Start of the tenure that was handed over. It grants nothing any more, even though the row
+    /// in the store still names this host for a while.
+    closed_from_wall_ms: Option<WallMs>,
+    /// Start of the tenure that adopted earlier claims, and the start from which the claims are
+    /// complete since then.
+    adopted: Option<(WallMs, WallMs)>,
+    /// Parts that arrived from the tenure named last, not adopted yet.
+    pending: Vec<HandedPartition>,
+}
+
+impl PartitionClaims {
+    /// Returns whether the tenure was handed over.
+    pub(crate) fn is_closed(&self, from_wall_ms: WallMs) -> bool {
+        self.closed_from_wall_ms == Some(from_wall_ms)
+    }
+
+    /// Ends the tenure: from now on it grants nothing.
+    pub(crate) fn close(&mut self, from_wall_ms: WallMs) -> BTreeMap<RequestKey, Claim> {
+        self.closed_from_wall_ms = Some(from_wall_ms);
+        std::mem::take(&mut self.claims)
+    }
+
+    /// Returns the start of the tenure from which the claims are complete.
+    pub(crate) fn complete_from_wall_ms(&self, tenure: &Tenure) -> WallMs {
+        match self.adopted {
+            Some((from, complete)) if tenure.has_earlier_claims && from == tenure.from_wall_ms => {
+                complete
+            }
+            _ => tenure.from_wall_ms,
+        }
+    }
+
+    /// Counts the claims that wait for adoption.
+    pub(crate) fn pending_len(&self) -> usize {
+        self.pending.iter().map(|part| part.claims.len()).sum()
+    }
+
+    /// Keeps a part for adoption. Parts of another tenure are dropped, as are repeated parts.
+    pub(crate) fn keep_pending(&mut self, handed: HandedPartition) {
+        self.pending
+            .retain(|kept| kept.giver == handed.giver && kept.parts == handed.parts);
+        if self.pending.iter().all(|kept| kept.part != handed.part) {
+            self.pending.push(handed);
+        }
+    }
+
+    /// Takes the pending parts of `giver` if all have arrived, and marks the tenure that started
+    /// at `from_wall_ms` as having adopted them.
+    pub(crate) fn adopt(
+        &mut self,
+        giver: &TenureId,
+        from_wall_ms: WallMs,
+    ) -> Option<Vec<HandedPartition>> {
+        let first = self.pending.first().filter(|kept| kept.giver == *giver)?;
+        let is_whole = usize::try_from(first.parts).is_ok_and(|parts| parts == self.pending.len());
+        if !is_whole {
+            return None;
+        }
+        self.adopted = Some((from_wall_ms, first.complete_from_wall_ms));
+        Some(std::mem::take(&mut self.pending))
+    }
+}
--- /dev/null
+++ b/crates/claims/tests/table.rs
@@ -0,0 +1,287 @@
+//! Rules of the claims table, one failure a case.
+
+use heatherhinge_claims::{
+    AttemptId, ClaimAnswer, ClaimLimits, ClaimRequest, ClaimTable, Outcome, RETENTION_MS,
+    SettleAnswer, Settlement, StoredAnswer, Tenure, TenureId,
+};
+use heatherhinge_types::{CLOCK_ERROR_MS, Code, Digest, MonoNs, Name, Now, RequestKey, WallMs};
+use yare::parameterized;
+
+const START_MS: u64 = 1_000_000;
+
+fn at(ms: u64) -> Now {
+    Now {
+        mono_ns: MonoNs::from_ms(ms),
+        wall_ms: WallMs(START_MS + ms),
+    }
+}
+
+/// A tenure that began at 0 and whose lease ends at `until_ms`.
+fn tenure(until_ms: u64) -> Tenure {
+    Tenure {
+        lease_until_wall_ms: at(until_ms).wall_ms,
+        lease_until_ns: at(until_ms).mono_ns,
+        from_wall_ms: at(0).wall_ms,
+        has_earlier_claims: false,
+    }
+}
+
+fn key(issued_ms: u64, number: u8) -> RequestKey {
+    RequestKey::new(at(issued_ms).wall_ms, [number, 0, 0, 0, 0, 0, 0, 0, 0, 9])
+}
+
+fn request(key: RequestKey, sequence: u64) -> ClaimRequest {
+    ClaimRequest {
+        key,
+        digest: Digest(1),
+        sender: Name::from("sender"),
+        attempt: AttemptId {
+            incarnation: 1,
+            sequence,
+        },
+    }
+}
+
+fn settlement(request: &ClaimRequest, outcome: Outcome) -> Settlement {
+    Settlement {
+        key: request.key,
+        digest: request.digest,
+        sender: request.sender.clone(),
+        attempt: request.attempt,
+        outcome,
+    }
+}
+
+fn answer(body_bytes: usize) -> StoredAnswer {
+    StoredAnswer {
+        status: 200,
+        headers: Vec::new(),
+        body: vec![b'x'; body_bytes],
+    }
+}
+
+fn table() -> ClaimTable {
+    ClaimTable::new(ClaimLimits {
+        max_claims: 3,
+        max_stored_bytes: 8_192,
+    })
+}
+
+fn refused(code: Code) -> ClaimAnswer {
+    ClaimAnswer::Refused {
+        code: code.number(),
+    }
+}
+
+fn granted_until(until_ms: u64) -> ClaimAnswer {
+    ClaimAnswer::Granted {
+        not_after_wall_ms: at(until_ms - CLOCK_ERROR_MS).wall_ms,
+    }
+}
+
+fn is_granted(answer: &ClaimAnswer) -> bool {
+    matches!(answer, ClaimAnswer::Granted { .. })
+}
+
+/// Guards against a rule on lease or issue time that is off by its boundary.
+#[parameterized(
+    lease_ends_by_the_clock_error = { 20_000, 19_500, 19_000, ClaimAnswer::NotOwner },
+    lease_still_valid = { 20_000, 19_499, 19_000, granted_until(20_000) },
+    future_by_the_clock_error = { 600_000, 10_000, 10_000 + CLOCK_ERROR_MS, granted_until(600_000) },
+    future_by_more = { 600_000, 10_000, 10_001 + CLOCK_ERROR_MS, refused(Code::KeyFromFuture) },
+    as_old_as_the_retention = { 600_000, 400_000, 400_000 - RETENTION_MS, granted_until(600_000) },
+    older_than_the_retention = { 600_000, 400_000, 399_999 - RETENTION_MS, refused(Code::KeyTooOld) },
+    within_twice_the_clock_error_of_the_tenure = { 600_000, 5_000, 2 * CLOCK_ERROR_MS, refused(Code::KeyBeforeTenure) },
+    after_twice_the_clock_error = { 600_000, 5_000, 2 * CLOCK_ERROR_MS + 1, granted_until(600_000) },
+)]
+fn age_and_lease(until_ms: u64, now_ms: u64, issued_ms: u64, expected: ClaimAnswer) {
+    let got = table().claim(
+        &request(key(issued_ms, 0), 1),
+        &tenure(until_ms),
+        at(now_ms),
+    );
+    assert_eq!(got, expected);
+}
+
+/// Guards against a lease that is still valid by a wall clock which was set back.
+#[test]
+fn monotonic_clock_ends_the_lease_too() {
+    let now = Now {
+        mono_ns: at(60_000).mono_ns,
+        wall_ms: at(5_000).wall_ms,
+    };
+    let got = table().claim(&request(key(4_000, 0), 1), &tenure(60_000), now);
+    assert_eq!(got, ClaimAnswer::NotOwner);
+}
+
+/// Guards against a settlement that opens or answers a key wrongly. Attempt 1 holds the claim;
+/// the case lists settlements as (attempt, outcome); then attempt 9 claims the key.
+#[parameterized(
+    never_settled = { &[], refused(Code::KeyRunning) },
+    unknown = { &[(1, Outcome::Unknown)], refused(Code::KeyRunning) },
+    not_run_of_another_attempt = { &[(2, Outcome::NotRun)], refused(Code::KeyRunning) },
+    completed_of_another_attempt = { &[(2, Outcome::Completed(None))], refused(Code::KeyRunning) },
+    not_run_after_unknown = { &[(1, Outcome::Unknown), (1, Outcome::NotRun)], refused(Code::KeyRunning) },
+    not_run_after_completed = { &[(1, Outcome::Completed(None)), (1, Outcome::NotRun)], refused(Code::KeyCompleted) },
+    unknown_after_completed = { &[(1, Outcome::Completed(Some(answer(5)))), (1, Outcome::Unknown)], ClaimAnswer::Completed(answer(5)) },
+    completed_after_unknown = { &[(1, Outcome::Unknown), (1, Outcome::Completed(Some(answer(5))))], ClaimAnswer::Completed(answer(5)) },
+    another_answer_after_completed = { &[(1, Outcome::Completed(Some(answer(5)))), (1, Outcome::Completed(Some(answer(6))))], ClaimAnswer::Completed(answer(5)) },
+    large_answer = { &[(1, Outcome::Completed(Some(answer(4_097))))], refused(Code::KeyCompleted) },
+)]
+fn settlements(steps: &[(u64, Outcome)], expected: ClaimAnswer) {
+    let (mut table, tenure, key) = (table(), tenure(600_000), key(5_000, 0));
+    assert!(is_granted(&table.claim(
+        &request(key, 1),
+        &tenure,
+        at(5_000)
+    )));
+    for (attempt, outcome) in steps {
+        table.settle(
+            settlement(&request(key, *attempt), outcome.clone()),
+            at(6_000),
+        );
+    }
+    assert_eq!(table.claim(&request(key, 9), &tenure, at(7_000)), expected);
+}
+
+/// Guards against a late repeat of a settlement releasing the claim of a newer attempt.
+#[test]
+fn stale_settlement_leaves_a_newer_claim() {
+    let (mut table, tenure, key) = (table(), tenure(600_000), key(5_000, 0));
+    let (first, second) = (request(key, 1), request(key, 2));
+    table.claim(&first, &tenure, at(5_000));
+    let not_run = settlement(&first, Outcome::NotRun);
+    assert_eq!(
+        table.settle(not_run.clone(), at(5_001)),
+        SettleAnswer::Settled
+    );
+    assert!(is_granted(&table.claim(&second, &tenure, at(5_002))));
+    assert_eq!(table.settle(not_run, at(5_003)), SettleAnswer::Stale);
+    assert_eq!(
+        table.claim(&request(key, 3), &tenure, at(5_004)),
+        refused(Code::KeyRunning)
+    );
+}
+
+/// Guards against a repeated claim message costing the caller its booking, and against a key that
+/// is reused for another request.
+#[test]
+fn repeated_and_reused_keys() {
+    let (mut table, tenure, key) = (table(), tenure(600_000), key(5_000, 0));
+    let first = request(key, 1);
+    let granted = table.claim(&first, &tenure, at(5_000));
+    assert_eq!(table.claim(&first, &tenure, at(5_001)), granted);
+    table.settle(settlement(&first, Outcome::Completed(None)), at(5_002));
+    let other = ClaimRequest {
+        digest: Digest(2),
+        ..request(key, 2)
+    };
+    assert_eq!(
+        table.claim(&other, &tenure, at(5_003)),
+        refused(Code::KeyReused)
+    );
+}
+
+/// Guards against forgetting a claim within its retention, by either bound.
+#[test]
+fn full_table_refuses_new_keys_and_keeps_the_old() {
+    let (mut table, tenure) = (table(), tenure(900_000));
+    let requests = [0, 1, 2].map(|number| request(key(5_000, number), 1));
+    for request in &requests {
+        assert!(is_granted(&table.claim(request, &tenure, at(5_000))));
+    }
+    for request in &requests {
+        let outcome = Outcome::Completed(Some(answer(4_096)));
+        table.settle(settlement(request, outcome), at(5_000));
+    }
+    assert_eq!(
+        table.stored_bytes(),
+        8_192,
+        "the third answer does not fit and is not kept"
+    );
+    let extra = request(key(5_000, 7), 1);
+    assert_eq!(
+        table.claim(&extra, &tenure, at(5_000)),
+        refused(Code::ClaimsFull)
+    );
+    let late_ms = 5_000 + RETENTION_MS + 2 * CLOCK_ERROR_MS;
+    assert_eq!(table.expire(at(late_ms)), 0);
+    assert_eq!(table.expire(at(late_ms + 1)), 3);
+    assert_eq!((table.len(), table.stored_bytes()), (0, 0));
+}
+
+/// Guards against a tenure that grants a key after its claims were handed over, and against
+/// adopting claims of a tenure that was not the one before.
+#[test]
+fn hand_over_closes_the_tenure_and_only_its_successor_adopts() {
+    let (mut old, mut new, held) = (table(), table(), tenure(600_000));
+    let known = request(key(5_000, 0), 1);
+    old.claim(&known, &held, at(5_000));
+    old.settle(
+        settlement(&known, Outcome::Completed(Some(answer(5)))),
+        at(5_001),
+    );
+    let running = request(key(5_500, 1), 2);
+    old.claim(&running, &held, at(5_500));
+    let giver = TenureId {
+        host: Name::from("old"),
+        epoch: 1,
+        from_wall_ms: held.from_wall_ms,
+    };
+    let partition = known.key.partition();
+    let handed = old.hand_over(partition, giver.clone(), &held);
+    assert_eq!(
+        old.claim(&request(key(6_000, 2), 3), &held, at(6_000)),
+        ClaimAnswer::NotOwner
+    );
+    let late = settlement(&running, Outcome::Completed(None));
+    assert_eq!(old.settle(late.clone(), at(6_000)), SettleAnswer::NotHeld);
+
+    let next = Tenure {
+        from_wall_ms: at(6_000).wall_ms,
+        has_earlier_claims: true,
+        ..held
+    };
+    let parts = handed.split(100);
+    assert_eq!(parts.len(), 2);
+    assert!(new.take_over(parts[0].clone()));
+    assert!(
+        !new.adopt(partition, &giver, next.from_wall_ms, at(6_000)),
+        "a part is missing"
+    );
+    assert!(new.take_over(parts[1].clone()) && new.take_over(parts[1].clone()));
+    let stranger = TenureId {
+        epoch: 2,
+        ..giver.clone()
+    };
+    assert!(!new.adopt(partition, &stranger, next.from_wall_ms, at(6_000)));
+    let resend = ClaimRequest {
+        attempt: AttemptId {
+            incarnation: 2,
+            sequence: 9,
+        },
+        ..known
+    };
+    assert_eq!(
+        new.claim(&resend, &next, at(6_100)),
+        refused(Code::KeyBeforeTenure)
+    );
+    assert!(new.adopt(partition, &giver, next.from_wall_ms, at(6_100)));
+    assert_eq!(
+        new.claim(&resend, &next, at(6_100)),
+        ClaimAnswer::Completed(answer(5))
+    );
+    assert_eq!(new.settle(late, at(6_200)), SettleAnswer::Settled);
+    let unheard = request(key(6_001, 3), 4);
+    assert!(
+        is_granted(&new.claim(&unheard, &next, at(6_200))),
+        "issued before, known not to run"
+    );
+    let earlier = request(key(2 * CLOCK_ERROR_MS, 4), 5);
+    let got = new.claim(&earlier, &next, at(6_200));
+    assert_eq!(
+        got,
+        refused(Code::KeyBeforeTenure),
+        "the giver had no earlier claims itself"
+    );
+}
