--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -4,6 +4,7 @@
 //! records to a [`RecordSink`]; where they go from there is decided by the daemon. See
 //! `docs/design.md`, section 16.
 
+pub mod admin;
 mod record;
 mod sink;
 
