Read, check and sign bundles

Cause: hosts and operators need one check of a whole bundle and one signature format. Change: Bundle::parse reads the text into the model and reports every problem with file, line and field; parse_successor lets a running move go on and parse_accepted skips end times, so that a host never refuses the bundle in force. Envelope signs and verifies with Ed25519 (codes 2103 to 2106).

--- /dev/null
+++ b/crates/bundle/src/check.rs
@@ -0,0 +1,180 @@
+//! The check of a bundle as a whole: names, zones, routes and moves against each other.
+
+use crate::draft::{Draft, Placed};
+use crate::{Bundle, Route, Service, VersionMove, ZoneState, fields, format_wall_time};
+use heatherhinge_ini::Section;
+use heatherhinge_types::{Name, WallMs};
+use std::collections::BTreeMap;
+
+/// What the end times of moves are compared with.
+#[derive(Clone, Copy)]
+pub(crate) enum MoveTiming<'a> {
+    /// The bundle was accepted before; its moves may have ended long ago.
+    Accepted,
+    /// Every move must still be able to finish.
+    AllNew(WallMs),
+    /// Moves of the bundle in force may go on; the others must be able to finish.
+    After(WallMs, &'a Bundle),
+}
+
+/// First path segment of the admin endpoints, which therefore names no service.
+const RESERVED_SERVICE: &str = "heatherhinge";
+
+/// Reports every problem between parts of the bundle.
+pub(crate) fn check(draft: &mut Draft, timing: MoveTiming<'_>) {
+    if let Some(service) = draft.services.get(RESERVED_SERVICE) {
+        let message = "the name is reserved for the admin endpoints".to_owned();
+        report_section(&mut draft.sections, service.section, message);
+    }
+    check_zones(draft);
+    check_routes(draft);
+    check_moves(draft, timing);
+}
+
+fn report(sections: &mut [Section], index: usize, field: &str, message: String) {
+    if let Some(section) = sections.get_mut(index) {
+        section.report(field, message);
+    }
+}
+
+fn report_section(sections: &mut [Section], index: usize, message: String) {
+    if let Some(section) = sections.get_mut(index) {
+        section.report_section(message);
+    }
+}
+
+fn check_zones(draft: &mut Draft) {
+    for service in draft.services.values() {
+        let mut is_any_in = service.value.zones.is_empty();
+        for name in &service.value.zones {
+            if let Some(zone) = draft.zones.get(name) {
+                is_any_in |= zone.value.state == ZoneState::In;
+            } else {
+                let message = format!("the bundle has no [zone {name}]");
+                let field = fields::SERVICE_ZONES.name;
+                report(&mut draft.sections, service.section, field, message);
+            }
+        }
+        if !is_any_in {
+            let message = "none of the service's zones is in, so nothing could serve it";
+            let field = fields::SERVICE_ZONES.name;
+            report(
+                &mut draft.sections,
+                service.section,
+                field,
+                message.to_owned(),
+            );
+        }
+    }
+}
+
+fn check_routes(draft: &mut Draft) {
+    let mut routes: BTreeMap<Name, Vec<&Placed<(Name, Route)>>> = BTreeMap::new();
+    for placed in &draft.routes {
+        let (service, route) = &placed.value;
+        if !service.is_empty() && !draft.services.contains_key(service) {
+            let message = format!("the bundle has no [service {service}]");
+            report_section(&mut draft.sections, placed.section, message);
+        }
+        let earlier = routes.entry(service.clone()).or_default();
+        let covering = earlier
+            .iter()
+            .find(|e| !e.value.1.prefix.is_empty() && e.value.1.covers(route));
+        if let (Some(covering), false) = (covering, route.prefix.is_empty()) {
+            let name = &covering.value.1.name;
+            let message = format!("the route never matches: the earlier route {name} covers it");
+            let field = fields::PREFIX.name;
+            report(&mut draft.sections, placed.section, field, message);
+        }
+        earlier.push(placed);
+    }
+    for (name, service) in &draft.services {
+        if !routes.contains_key(name) {
+            let message = "the service has no route".to_owned();
+            report_section(&mut draft.sections, service.section, message);
+        }
+    }
+}
+
+fn check_moves(draft: &mut Draft, timing: MoveTiming<'_>) {
+    let mut ids: BTreeMap<&Name, &Name> = BTreeMap::new();
+    for (service_name, placed) in &draft.moves {
+        let (id, sections) = (&placed.value.id, &mut draft.sections);
+        let mut problem = |field: &str, message: String| {
+            report(sections, placed.section, field, message);
+        };
+        match draft.services.get(service_name) {
+            Some(service) => check_versions(&service.value, &placed.value, &mut problem),
+            None => {
+                let message = format!("the bundle has no [service {service_name}]");
+                problem(&format!("[move {service_name}]"), message);
+            }
+        }
+        if !id.is_empty()
+            && let Some(other) = ids.insert(id, service_name)
+        {
+            let message = format!("'{id}' is also the id of the move of service {other}");
+            problem(fields::MOVE_ID.name, message);
+        }
+        check_timing(service_name, &placed.value, timing, &mut problem);
+    }
+}
+
+fn check_versions(service: &Service, moved: &VersionMove, problem: &mut impl FnMut(&str, String)) {
+    let is_known = !moved.from.is_empty() && !service.version.is_empty();
+    if is_known && moved.from != service.version {
+        let message = format!(
+            "the service runs version {}, so the move cannot leave {}",
+            service.version, moved.from
+        );
+        problem(fields::MOVE_FROM.name, message);
+    }
+    if !moved.to.is_empty() && moved.from == moved.to {
+        let message = format!("the move goes from {} to itself", moved.to);
+        problem(fields::MOVE_TO.name, message);
+    }
+}
+
+fn check_timing(
+    service: &Name,
+    moved: &VersionMove,
+    timing: MoveTiming<'_>,
+    problem: &mut impl FnMut(&str, String),
+) {
+    let now_wall_ms = match timing {
+        MoveTiming::Accepted => return,
+        MoveTiming::AllNew(now_wall_ms) => now_wall_ms,
+        MoveTiming::After(now_wall_ms, in_force) => {
+            let running = move_in_force(in_force, &moved.id);
+            if running == Some((service, moved)) {
+                return;
+            }
+            if running.is_some() {
+                let message = format!(
+                    "the bundle in force has another move '{}'; a changed move needs a new id",
+                    moved.id
+                );
+                problem(fields::MOVE_ID.name, message);
+            }
+            now_wall_ms
+        }
+    };
+    let left_ms = moved.end_wall_ms.ms_since(now_wall_ms);
+    if left_ms < moved.shortest_ms() {
+        let message = format!(
+            "the move cannot finish in time: its {} steps need {} s, and {} s are left at {}",
+            moved.step_shares_permille().count(),
+            moved.shortest_ms() / 1_000,
+            left_ms / 1_000,
+            format_wall_time(now_wall_ms)
+        );
+        problem(fields::MOVE_END.name, message);
+    }
+}
+
+fn move_in_force<'a>(in_force: &'a Bundle, id: &Name) -> Option<(&'a Name, &'a VersionMove)> {
+    in_force.services.values().find_map(|service| {
+        let moved = service.version_move.as_ref()?;
+        (moved.id == *id).then_some((&service.name, moved))
+    })
+}
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -2,9 +2,27 @@
 //!
 //! A bundle states which services exist, which availability zones and versions serve them, and how
 //! traffic moves between versions. It is immutable once made. See `docs/design.md`, section 8.
+//!
+//! [`Bundle::parse`] reads and checks the text of a bundle as a whole. An [`Envelope`] carries the
+//! text with its signature; a host verifies the envelope against its [`TrustedKeys`] before it
+//! looks at the text. The fields are tabled in [`FIELDS`] and in `docs/bundle.md`.
 
+mod check;
+mod draft;
+mod envelope;
+mod fields;
+mod keys;
 mod model;
+mod parse;
+mod wall_time;
 
+pub use envelope::{ENVELOPE_LIMIT_BYTES, Envelope};
+pub use fields::FIELDS;
+pub use keys::{KeyTextError, TrustedKeys};
 pub use model::{
-    Budget, Bundle, BundleVersion, Route, RouteClass, Service, VersionMove, Zone, ZoneState,
+    Budget, Bundle, BundleVersion, Route, RouteClass, SHORTEST_STEP_MS, STEP_SHARES_PERMILLE,
+    Service, VersionMove, Zone, ZoneState,
 };
+pub use wall_time::{format_wall_time, parse_wall_time};
+
+pub use heatherhinge_ini::Problem;
--- a/crates/bundle/src/model.rs
+++ b/crates/bundle/src/model.rs
@@ -100,6 +100,32 @@
     pub deadline_ms: u64,
 }
 
+impl Route {
+    /// Returns whether the route takes a request, with the path behind the service segment and
+    /// without its query.
+    ///
+    /// A prefix matches whole segments: `/book` takes `/book` and `/book/7` but not `/booking`.
+    #[must_use]
+    pub fn matches(&self, method: &str, path: &str) -> bool {
+        (self.methods.is_empty() || self.methods.contains(method)) && self.takes_path(path)
+    }
+
+    /// Returns whether the route takes every request that a later one would, so that the later
+    /// one never matches.
+    #[must_use]
+    pub fn covers(&self, later: &Self) -> bool {
+        let takes_methods = self.methods.is_empty()
+            || (!later.methods.is_empty() && later.methods.is_subset(&self.methods));
+        takes_methods && self.takes_path(&later.prefix)
+    }
+
+    fn takes_path(&self, path: &str) -> bool {
+        let bare = self.prefix.trim_end_matches('/');
+        path.strip_prefix(bare)
+            .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
+    }
+}
+
 /// Class of work; bulk downloads must neither stall nor be stalled by short calls.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum RouteClass {
@@ -125,3 +151,31 @@
     /// Answers of the new version needed before a step, over all hosts.
     pub min_samples: u32,
 }
+
+/// Shares of the new version after the cap, in thousandths; `docs/design.md`, section 22.
+pub const STEP_SHARES_PERMILLE: [u32; 4] = [100, 250, 500, 1000];
+
+/// Shortest time for which a move stays at one share, in milliseconds.
+///
+/// Evidence of a step reaches the leader within 2 s and its decision reaches every host within
+/// another 2 s; the rest is for the answers that the decision needs.
+pub const SHORTEST_STEP_MS: u64 = 10_000;
+
+impl VersionMove {
+    /// Returns the shares that the move goes through, in thousandths, the cap first.
+    pub fn step_shares_permille(&self) -> impl Iterator<Item = u32> {
+        let cap_permille = self.cap_permille;
+        std::iter::once(cap_permille).chain(
+            STEP_SHARES_PERMILLE
+                .into_iter()
+                .filter(move |share| *share > cap_permille),
+        )
+    }
+
+    /// Returns the least time that the move takes, in milliseconds.
+    #[must_use]
+    pub fn shortest_ms(&self) -> u64 {
+        let steps = u64::try_from(self.step_shares_permille().count()).unwrap_or(u64::MAX);
+        steps.saturating_mul(SHORTEST_STEP_MS)
+    }
+}
--- /dev/null
+++ b/crates/bundle/tests/envelope.rs
@@ -0,0 +1,160 @@
+//! Signatures of bundles, and hostile input.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD;
+use ed25519_dalek::SigningKey;
+use heatherhinge_bundle::{Bundle, ENVELOPE_LIMIT_BYTES, Envelope, KeyTextError, TrustedKeys};
+use heatherhinge_types::{Code, Name, WallMs};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+use std::collections::BTreeSet;
+use yare::parameterized;
+
+const GOOD: &str = include_str!("data/good.ini");
+
+fn key() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
+fn trusted(id: &str) -> TrustedKeys {
+    let public = STANDARD.encode(key().verifying_key().as_bytes());
+    let mut keys = TrustedKeys::default();
+    keys.add_base64(Name::new(id), &public).unwrap();
+    keys
+}
+
+fn signed(id: &str) -> Envelope {
+    Envelope::sign(GOOD.to_owned(), Name::new(id), &key())
+}
+
+/// Guards against a bundle signed with a wrong, old or unknown key being accepted.
+#[parameterized(
+    good = { "ops-2", GOOD, "", Ok(()) },
+    other_text = { "ops-2", "[bundle]\nversion = 8\n", "", Err(Code::BundleBadSignature) },
+    unknown = { "ops-9", GOOD, "", Err(Code::BundleUnknownKey) },
+    revoked = { "ops-2", GOOD, "ops-2", Err(Code::BundleRevokedKey) },
+    revoked_and_unknown = { "ops-1", GOOD, "ops-1", Err(Code::BundleRevokedKey) },
+)]
+fn signature_is_checked(id: &str, text: &str, revoked: &str, expected: Result<(), Code>) {
+    let mut envelope = signed(id);
+    envelope.text = text.to_owned();
+    let revoked = BTreeSet::from([Name::new(revoked)]);
+    let result = envelope.verify(&trusted("ops-2"), &revoked);
+    assert_eq!(result.map(|_| ()), expected);
+}
+
+/// Guards against another key's signature passing under a trusted id.
+#[test]
+fn signature_of_another_key_is_refused() {
+    let other = SigningKey::from_bytes(&[8; 32]);
+    let envelope = Envelope::sign(GOOD.to_owned(), Name::from("ops-2"), &other);
+    let result = envelope.verify(&trusted("ops-2"), &BTreeSet::new());
+    assert_eq!(result, Err(Code::BundleBadSignature));
+}
+
+/// Guards against a signed text changing on its way through JSON.
+#[test]
+fn json_keeps_every_byte() {
+    let text = "[bundle]\r\n; \u{e9}\t\"\n".to_owned();
+    let envelope = Envelope::sign(text, Name::from("ops-2"), &key());
+    let json = envelope.to_json().unwrap();
+    let read = Envelope::from_json(json.as_bytes()).unwrap();
+    assert_eq!(read, envelope);
+    assert!(read.verify(&trusted("ops-2"), &BTreeSet::new()).is_ok());
+    assert_eq!(read.digest(), envelope.digest());
+    assert_ne!(read.digest(), signed("ops-2").digest());
+}
+
+/// Guards against a malformed envelope being reported as anything else than 2106.
+#[parameterized(
+    empty = { "" },
+    not_json = { "[bundle]" },
+    no_signature = { r#"{"text":"","key_id":"a"}"# },
+    short_signature = { r#"{"text":"","key_id":"a","signature":"AAAA"}"# },
+    not_base64 = { r#"{"text":"","key_id":"a","signature":"%"}"# },
+    unknown_field = { r#"{"text":"","key_id":"a","signature":"","more":1}"# },
+)]
+fn bad_envelope_is_refused(json: &str) {
+    let result = Envelope::from_json(json.as_bytes());
+    assert_eq!(result, Err(Code::BundleBadEnvelope));
+}
+
+/// Guards against an envelope that no row of the table service can hold.
+#[test]
+fn large_envelope_is_refused() {
+    let text = "x".repeat(ENVELOPE_LIMIT_BYTES);
+    let envelope = Envelope::sign(text, Name::from("ops-2"), &key());
+    assert_eq!(envelope.to_json(), Err(Code::BundleBadEnvelope));
+    let bytes = serde_json::to_vec(&envelope).unwrap();
+    assert_eq!(Envelope::from_json(&bytes), Err(Code::BundleBadEnvelope));
+}
+
+/// Guards against a key that verifies forged signatures, or none, being trusted.
+#[parameterized(
+    not_base64 = { "!", KeyTextError::NotBase64 },
+    short = { "AAAA", KeyTextError::NotBase64 },
+    weak = { "AQAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", KeyTextError::NotKey },
+    no_point = { "AgAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAAA=", KeyTextError::NotKey },
+)]
+fn unusable_key_is_refused(text: &str, expected: KeyTextError) {
+    let result = TrustedKeys::default().add_base64(Name::from("a"), text);
+    assert_eq!(result, Err(expected));
+}
+
+fn config() -> Config {
+    Config {
+        cases: 400,
+        rng_seed: RngSeed::Fixed(0x68_68),
+        failure_persistence: None,
+        ..Config::default()
+    }
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// Guards against a panic on any input: bytes of a good bundle are replaced, lines repeated,
+    /// and the text is cut. Whatever passes the check must also pass it when read again.
+    #[test]
+    fn mutated_bundle_never_panics(
+        edits in prop::collection::vec((any::<prop::sample::Index>(), any::<u8>()), 0..6),
+        line in any::<prop::sample::Index>(),
+        cut in any::<prop::sample::Index>(),
+        is_cut in any::<bool>(),
+    ) {
+        let mut bytes = GOOD.as_bytes().to_vec();
+        let lines: Vec<&str> = GOOD.lines().collect();
+        bytes.extend_from_slice(line.get(&lines).as_bytes());
+        for (place, byte) in edits {
+            let place = place.index(bytes.len());
+            bytes[place] = byte;
+        }
+        if is_cut {
+            bytes.truncate(cut.index(bytes.len()));
+        }
+        let text = String::from_utf8_lossy(&bytes);
+        let file = Name::from("b.ini");
+        match Bundle::parse(&file, &text, WallMs(0)) {
+            Ok(bundle) => prop_assert_eq!(Bundle::parse_accepted(&file, &text), Ok(bundle)),
+            Err(problems) => prop_assert!(!problems.is_empty()),
+        }
+    }
+
+    /// Guards against a panic, or an acceptance, when bytes of a signed envelope are changed.
+    #[test]
+    fn mutated_envelope_is_never_verified(
+        place in any::<prop::sample::Index>(),
+        flip in 1_u8..=255,
+    ) {
+        let good = signed("ops-2");
+        let mut bytes = good.to_json().unwrap().into_bytes();
+        let place = place.index(bytes.len());
+        bytes[place] ^= flip;
+        if let Ok(envelope) = Envelope::from_json(&bytes) {
+            let is_verified = envelope.verify(&trusted("ops-2"), &BTreeSet::new()).is_ok();
+            prop_assert!(!is_verified || envelope == good);
+        }
+    }
+}
--- a/crates/ini/src/field.rs
+++ b/crates/ini/src/field.rs
@@ -2,6 +2,7 @@
 
 use crate::Section;
 use std::fmt;
+use std::ops::RangeInclusive;
 
 /// What the value of a field must be.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -75,22 +76,32 @@
         )
     }
 
+    /// Returns the range of a number; a field of another kind has no bounds.
+    #[must_use]
+    pub const fn range(&self) -> RangeInclusive<u64> {
+        match self.kind {
+            FieldKind::Number { min, max } => min..=max,
+            _ => 0..=u64::MAX,
+        }
+    }
+
+    /// Returns the default of a number, or the smallest allowed value if it has none.
+    #[must_use]
+    pub fn default_number(&self) -> u64 {
+        let text = self.default.unwrap_or_default();
+        text.parse().unwrap_or(*self.range().start())
+    }
+
     /// Reads the field as a number within its range, or takes its default.
     ///
-    /// The smallest allowed value stands in after a problem, so that the check can go on.
+    /// The default or the smallest allowed value stands in after a problem, so that the check can
+    /// go on.
     pub fn take_number(&self, section: &mut Section) -> u64 {
-        let (min, max) = match self.kind {
-            FieldKind::Number { min, max } => (min, max),
-            _ => (0, u64::MAX),
-        };
-        match self.default {
-            None => section.take_u64(self.name, min..=max).unwrap_or(min),
-            Some(text) => {
-                let default = text.parse().unwrap_or(min);
-                section.take_or(self.name, default, |section, name| {
-                    section.take_u64(name, min..=max)
-                })
-            }
+        let take = |section: &mut Section, name: &str| section.take_u64(name, self.range());
+        if self.default.is_some() {
+            section.take_or(self.name, self.default_number(), take)
+        } else {
+            take(section, self.name).unwrap_or_else(|| self.default_number())
         }
     }
 
--- a/crates/ini/src/section.rs
+++ b/crates/ini/src/section.rs
@@ -164,7 +164,8 @@
         })
     }
 
-    /// Reads a name: letters, digits, `-`, `_` and `.`, at most 64 bytes.
+    /// Reads a name: letters, digits, `-`, `_` and `.`, at most 64 bytes, with a letter or digit
+    /// first. So a name is never `.` or `..` where it becomes part of a path.
     pub fn take_name(&mut self, field: &str) -> Option<Name> {
         self.take_with(field, check_name)
     }
@@ -268,11 +269,12 @@
         Err("a name is empty".to_owned())
     } else if text.len() > NAME_LIMIT_BYTES {
         Err(format!("the name is longer than {NAME_LIMIT_BYTES} bytes"))
-    } else if text.chars().all(is_allowed) {
+    } else if text.chars().all(is_allowed) && text.starts_with(|c: char| c.is_alphanumeric()) {
         Ok(Name::new(text))
     } else {
         Err(format!(
-            "'{text}' is not a name of letters, digits, '-', '_' and '.'"
+            "'{text}' is not a name of letters, digits, '-', '_' and '.' that starts with a \
+             letter or digit"
         ))
     }
 }
