--- /dev/null
+++ b/crates/bundle/tests/page.rs
@@ -0,0 +1,16 @@
+//! The page that lists the fields of a bundle.
+
+use heatherhinge_bundle::FIELDS;
+use heatherhinge_ini::Field;
+
+/// Guards against the page and the code naming different fields, ranges or defaults.
+#[test]
+fn page_lists_every_field() {
+    let page = include_str!("../../../docs/bundle.md");
+    let listed: Vec<&str> = page
+        .lines()
+        .filter(|line| line.starts_with("| `["))
+        .collect();
+    let expected: Vec<String> = FIELDS.iter().map(Field::row).collect();
+    assert_eq!(listed, expected, "\n{}\n", expected.join("\n"));
+}
