Limit the work that reaches cold targets

Cause: a target that has just started fails under full load, and no host alone can bound the sum over hosts. Change: the warmup controller lets only the owner of a target's partition send, with an allowance that doubles with good answers, and lets other hosts follow the owner's announcements. WarmTarget gains the bundle of the zone's last return, so that older announcements do not count.

--- a/crates/blackboard/src/host_record.rs
+++ b/crates/blackboard/src/host_record.rs
@@ -58,6 +58,9 @@
     pub target: Name,
     /// The run that is warm.
     pub start_id: StartId,
+    /// The bundle that last brought the target's zone back, as the owner knew it; 0 if the zone
+    /// was never out. A host that knows of a later return does not accept the announcement.
+    pub zone_since: BundleVersion,
 }
 
 /// Answers of one version on one route since the move began, as counted by one host.
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,7 +5,17 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod controller;
+mod recording;
+mod target_warmup;
 mod targets;
+mod tenures;
+mod warm_announcements;
+mod warmup;
+mod warmup_event;
 
 pub use controller::Controller;
+pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
+pub use tenures::Tenures;
+pub use warmup::WarmupController;
+pub use warmup_event::{ColdReport, WarmupEffect, WarmupEvent, is_news};
--- /dev/null
+++ b/crates/controllers/src/recording.rs
@@ -0,0 +1,37 @@
+//! Makes decision records with the versions of the state that they are based on.
+
+use heatherhinge_blackboard::{Basis, Blackboard};
+use heatherhinge_records::{Record, RecordBasis, RecordEvent, Subject};
+use heatherhinge_types::Now;
+
+/// Returns the versions of all entries that routing depends on.
+pub(crate) fn current_basis(board: &Blackboard) -> Basis {
+    let bundle = board.bundle.read();
+    Basis {
+        bundle: bundle
+            .value
+            .as_ref()
+            .map(|bundle| bundle.version)
+            .unwrap_or_default(),
+        owners: board.owners.read().version,
+        warmth: board.warmth.read().version,
+        moves: board.moves.read().version,
+        zones: board.zones.read().version,
+    }
+}
+
+/// Makes the record of a decision that a controller of this host takes now.
+pub(crate) fn record_of(
+    board: &Blackboard,
+    now: Now,
+    subject: Subject,
+    event: RecordEvent,
+) -> Box<Record> {
+    Box::new(Record {
+        at_wall_ms: now.wall_ms,
+        host: board.host.clone(),
+        subject,
+        basis: RecordBasis::new(current_basis(board), board.quarantine.read().version),
+        event,
+    })
+}
--- a/crates/controllers/src/targets.rs
+++ b/crates/controllers/src/targets.rs
@@ -3,9 +3,10 @@
 //! It is the only writer of the `routing` entry; `docs/design.md`, sections 5 and 9.
 
 use crate::Controller;
+use crate::recording::current_basis;
 use heatherhinge_blackboard::{
-    Basis, Blackboard, ColdTarget, MoveEntry, MoveState, RoutingSnapshot, ServiceCounters,
-    ServiceTargets, TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
+    Blackboard, ColdTarget, MoveEntry, MoveState, RoutingSnapshot, ServiceCounters, ServiceTargets,
+    TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
 };
 use heatherhinge_bundle::Service;
 use heatherhinge_types::{Name, Now};
@@ -182,21 +183,6 @@
     }
 }
 
-fn current_basis(board: &Blackboard) -> Basis {
-    let bundle = board.bundle.read();
-    Basis {
-        bundle: bundle
-            .value
-            .as_ref()
-            .map(|bundle| bundle.version)
-            .unwrap_or_default(),
-        owners: board.owners.read().version,
-        warmth: board.warmth.read().version,
-        moves: board.moves.read().version,
-        zones: board.zones.read().version,
-    }
-}
-
 /// Returns the versions of a service that take traffic, the main one first, with their shares.
 fn pool_plan(service: &Service, entry: Option<&MoveEntry>) -> Vec<(Name, u32)> {
     let Some(entry) = entry else {
--- /dev/null
+++ b/crates/controllers/src/tenures.rs
@@ -0,0 +1,69 @@
+//! The tenures of partitions, as far as a controller has to know who owned them before.
+
+use heatherhinge_blackboard::Blackboard;
+use heatherhinge_types::{Now, Partition, WallMs};
+use std::collections::{BTreeMap, BTreeSet};
+
+/// One tenure of this or another host.
+#[derive(Clone, Debug, PartialEq, Eq)]
+struct Tenure {
+    is_own: bool,
+    epoch: u64,
+    from_wall_ms: WallMs,
+    has_predecessor: bool,
+    is_valid: bool,
+}
+
+/// Tenures by partition.
+#[derive(Debug, Default)]
+pub struct Tenures {
+    tenures: BTreeMap<Partition, Tenure>,
+}
+
+impl Tenures {
+    /// Reads the owners entry and returns the partitions that this host gained or lost.
+    pub fn refresh(&mut self, board: &Blackboard, now: Now) -> BTreeSet<Partition> {
+        let owners = board.owners.read();
+        let mut changed = BTreeSet::new();
+        for partition in Partition::all() {
+            let Some(owner) = owners.value.owner(partition) else {
+                continue;
+            };
+            let before = self.tenures.get(&partition);
+            let is_same = before
+                .is_some_and(|b| b.epoch == owner.epoch && b.from_wall_ms == owner.from_wall_ms);
+            let tenure = Tenure {
+                is_own: owner.host == board.host,
+                epoch: owner.epoch,
+                from_wall_ms: owner.from_wall_ms,
+                has_predecessor: owner.has_earlier_claims
+                    || before.is_some_and(|b| !is_same || b.has_predecessor),
+                is_valid: owners.value.holds(&board.host, partition, now),
+            };
+            if before != Some(&tenure) {
+                if tenure.is_own || before.is_some_and(|b| b.is_own) {
+                    changed.insert(partition);
+                }
+                self.tenures.insert(partition, tenure);
+            }
+        }
+        changed
+    }
+
+    /// Returns whether this host owns the partition under a valid lease, in the tenure that was
+    /// last read. A tenure that is not yet read counts as not held.
+    #[must_use]
+    pub fn holds(&self, board: &Blackboard, partition: Partition, now: Now) -> bool {
+        self.tenures.get(&partition).is_some_and(|t| t.is_own)
+            && board.owners.read().value.holds(&board.host, partition, now)
+    }
+
+    /// Returns whether requests of the earlier owner may still be in flight, given the longest
+    /// time that a request takes. A partition without a known earlier owner does not wait.
+    #[must_use]
+    pub fn waits(&self, partition: Partition, longest_ms: u64, now: Now) -> bool {
+        self.tenures
+            .get(&partition)
+            .is_some_and(|t| t.has_predecessor && now.wall_ms < t.from_wall_ms.plus_ms(longest_ms))
+    }
+}
--- /dev/null
+++ b/crates/controllers/src/warmup.rs
@@ -0,0 +1,420 @@
+//! Limits the work that reaches cold targets, over all hosts together.
+//!
+//! It is the only writer of the `warmth` entry; `docs/design.md`, sections 10 and 22, and
+//! `docs/controllers/warmup.md`.
+
+use crate::recording::record_of;
+use crate::target_warmup::{Change, Distrust, TargetWarmup, WarmupPhase};
+use crate::warm_announcements::{announcements, hear, record_of_host};
+use crate::{AnswerKind, ColdReport, Controller, ListedTarget, Tenures, WarmupEffect, WarmupEvent};
+use heatherhinge_blackboard::{
+    Blackboard, RecordVersion, WarmTarget, Warmth, WarmthTable, Writer, ZonePhase,
+};
+use heatherhinge_bundle::BundleVersion;
+use heatherhinge_records::{RecordEvent, Subject};
+use heatherhinge_types::{MonoNs, Name, Now, Partition, StartId};
+use std::collections::BTreeMap;
+
+/// Time for a report of a cold target to reach the owner and for the owner's next record to come
+/// back: one message and up to three exchanges of records at 500 ms.
+pub(crate) const REPORT_ROUND_MS: u64 = 2_000;
+/// Time between two readings of all targets while only peers' records change. Records are
+/// exchanged every 500 ms, and one reading of 5,000 targets takes milliseconds.
+const REFRESH_MS: u64 = 400;
+
+/// Keeps the warmth table.
+#[derive(Debug)]
+pub struct WarmupController {
+    writer: Writer<WarmthTable>,
+    table: WarmthTable,
+    is_dirty: bool,
+    targets: BTreeMap<Name, TargetWarmup>,
+    tenures: Tenures,
+    bundle: BundleVersion,
+    zone_since: BTreeMap<Name, BundleVersion>,
+    announced: Vec<WarmTarget>,
+    is_cut_off: bool,
+    refreshed_ns: MonoNs,
+    read: Option<ReadState>,
+}
+
+/// What a reading of all targets was made from, except peers' records.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct ReadState {
+    bundle: u64,
+    owners: u64,
+    zones: u64,
+    is_lease_valid: bool,
+}
+
+impl ReadState {
+    fn of(board: &Blackboard, now: Now) -> Self {
+        let owners = board.owners.read();
+        Self {
+            bundle: board.bundle.read().version,
+            owners: owners.version,
+            zones: board.zones.read().version,
+            is_lease_valid: owners.value.lease_valid(now),
+        }
+    }
+}
+
+impl WarmupController {
+    /// Makes the controller from the one writer of the warmth entry.
+    #[must_use]
+    pub fn new(writer: Writer<WarmthTable>) -> Self {
+        Self {
+            writer,
+            table: WarmthTable::default(),
+            is_dirty: false,
+            targets: BTreeMap::new(),
+            tenures: Tenures::default(),
+            bundle: BundleVersion::default(),
+            zone_since: BTreeMap::new(),
+            announced: Vec::new(),
+            is_cut_off: false,
+            refreshed_ns: MonoNs(0),
+            read: None,
+        }
+    }
+
+    fn take_list(&mut self, listed: Vec<ListedTarget>) {
+        let mut targets = BTreeMap::new();
+        for listed in listed {
+            let name = Name::from(listed.addr.to_string());
+            let known = self.targets.remove(&name);
+            let known = known.filter(|t| t.service == listed.service && t.zone == listed.zone);
+            let partition = Partition::of_name(&name);
+            let target =
+                known.unwrap_or_else(|| TargetWarmup::new(listed.service, listed.zone, partition));
+            targets.insert(name, target);
+        }
+        self.targets = targets;
+        self.bundle = BundleVersion::default(); // Sets the limits of new targets.
+        let kept = &self.targets;
+        let before = self.table.targets.len();
+        self.table.targets.retain(|name, _| kept.contains_key(name));
+        self.is_dirty |= before != self.table.targets.len();
+    }
+
+    fn answer(&mut self, board: &Blackboard, seen: Answer<'_>, now: Now, out: &mut Effects) {
+        let Some(target) = self.targets.get_mut(seen.target) else {
+            return;
+        };
+        let lost_run = target.run();
+        if let Some((run, uptime_ms)) = seen.report {
+            match target.see_run(run, uptime_ms) {
+                None => return,
+                Some(true) => {
+                    let report = ColdReport {
+                        target: seen.target.clone(),
+                        lost_run,
+                        new_run: Some(run).filter(|_| lost_run != Some(run)),
+                    };
+                    self.cold(board, &report, "new run", now, out);
+                }
+                Some(false) => {}
+            }
+        }
+        let Some(target) = self.targets.get_mut(seen.target) else {
+            return;
+        };
+        if target.is_warm() || !self.tenures.holds(board, target.partition, now) {
+            return;
+        }
+        let kind = slowed(board, &target.service, seen.kind, seen.latency_ns);
+        match target.count(kind) {
+            Change::None => {}
+            Change::Allowance(allowance) => {
+                self.show(board, seen.target, now);
+                out.record(
+                    board,
+                    now,
+                    seen.target,
+                    RecordEvent::AllowanceSet { allowance },
+                );
+            }
+            Change::Warm(start_id) => {
+                self.show(board, seen.target, now);
+                out.record(
+                    board,
+                    now,
+                    seen.target,
+                    RecordEvent::WarmAnnounced { start_id },
+                );
+                self.announce(board, now, out);
+            }
+        }
+    }
+
+    fn connection_lost(
+        &mut self,
+        board: &Blackboard,
+        name: Name,
+        run: Option<StartId>,
+        now: Now,
+        out: &mut Effects,
+    ) {
+        let Some(target) = self.targets.get(&name) else {
+            return;
+        };
+        let is_old = run.is_some_and(|run| target.run().is_some_and(|known| known != run));
+        if is_old {
+            return;
+        }
+        let report = ColdReport {
+            lost_run: run.or(target.run()),
+            target: name,
+            new_run: None,
+        };
+        self.cold(board, &report, "connection lost", now, out);
+    }
+
+    fn reported(&mut self, board: &Blackboard, report: &ColdReport, now: Now, out: &mut Effects) {
+        let Some(target) = self.targets.get_mut(&report.target) else {
+            return;
+        };
+        let known = target.run();
+        let is_news = match (report.new_run, report.lost_run) {
+            (Some(new), _) => known != Some(new) && target.see_run(new, 0).is_some(),
+            (None, Some(lost)) => known.is_none_or(|known| known == lost),
+            (None, None) => true,
+        };
+        if is_news {
+            self.cold(board, report, "reported by a peer", now, out);
+        }
+    }
+
+    /// Treats a target as cold from now on, and tells its owner if that is another host.
+    fn cold(
+        &mut self,
+        board: &Blackboard,
+        report: &ColdReport,
+        reason: &str,
+        now: Now,
+        out: &mut Effects,
+    ) {
+        let Some(target) = self.targets.get_mut(&report.target) else {
+            return;
+        };
+        let owners = board.owners.read();
+        let owner = owners.value.owner(target.partition);
+        let was_warm = target.turn_cold();
+        let owner_record = owner.and_then(|owner| record_of_host(board, &owner.host));
+        target.distrust = Some(Distrust {
+            run: report.lost_run,
+            until_ns: now.mono_ns.plus_ms(REPORT_ROUND_MS),
+            record: owner_record.map_or(RecordVersion::default(), |record| record.version),
+        });
+        let start_id = report.new_run.or(report.lost_run).unwrap_or_default();
+        self.show(board, &report.target, now);
+        if !was_warm {
+            return;
+        }
+        let reason = Name::from(reason);
+        out.record(
+            board,
+            now,
+            &report.target,
+            RecordEvent::ColdSeen { start_id, reason },
+        );
+        if let Some(owner) = owner.filter(|owner| owner.host != board.host) {
+            out.0.push(WarmupEffect::TellOwner {
+                owner: owner.host.clone(),
+                peer_addr: owner.peer_addr,
+                report: report.clone(),
+            });
+        }
+        self.announce(board, now, out);
+    }
+
+    /// Takes in the entries of other controllers.
+    fn refresh(&mut self, board: &Blackboard, now: Now, out: &mut Effects) {
+        self.refreshed_ns = now.mono_ns;
+        self.read = Some(ReadState::of(board, now));
+        self.refresh_limits(board);
+        self.refresh_zones(board);
+        let hosts = board.hosts.read_owned();
+        let (known, live) = (hosts.value.hosts.len(), hosts.value.live().count());
+        self.is_cut_off = known > 1 && live * 2 <= known;
+        let changed = self.tenures.refresh(board, now);
+        let index = announcements(board);
+        for (name, target) in &mut self.targets {
+            let holds = self.tenures.holds(board, target.partition, now);
+            if changed.contains(&target.partition) && !target.is_warm() {
+                target.turn_cold(); // A new owner starts again at 1.
+            }
+            if !holds {
+                let since = self.zone_since.get(&target.zone).copied();
+                hear(
+                    board,
+                    target,
+                    index.get(name),
+                    since.unwrap_or_default(),
+                    now,
+                );
+            }
+        }
+        let names: Vec<Name> = self.targets.keys().cloned().collect();
+        for name in &names {
+            self.show(board, name, now);
+        }
+        self.announce(board, now, out);
+    }
+
+    fn refresh_limits(&mut self, board: &Blackboard) {
+        let bundle = board.bundle.read();
+        let Some(bundle) = bundle.value.as_ref().filter(|b| b.version != self.bundle) else {
+            return;
+        };
+        self.bundle = bundle.version;
+        for target in self.targets.values_mut() {
+            if let Some(service) = bundle.services.get(&target.service) {
+                target.set_limits(service);
+            }
+        }
+    }
+
+    /// Targets of a zone that comes back count as cold, whatever was announced before.
+    fn refresh_zones(&mut self, board: &Blackboard) {
+        let zones = board.zones.read();
+        for (zone, entry) in &zones.value.zones {
+            let known = self.zone_since.get(zone).copied().unwrap_or_default();
+            if entry.phase != ZonePhase::Returning || entry.since <= known {
+                continue;
+            }
+            self.zone_since.insert(zone.clone(), entry.since);
+            for target in self.targets.values_mut().filter(|t| t.zone == *zone) {
+                target.turn_cold();
+            }
+        }
+    }
+
+    /// Brings the table's row of one target up to date.
+    fn show(&mut self, board: &Blackboard, name: &Name, now: Now) {
+        let Some(target) = self.targets.get(name) else {
+            return;
+        };
+        let holds = self.tenures.holds(board, target.partition, now);
+        let warmth = match target.phase {
+            WarmupPhase::Warm(start_id) if holds || !self.is_cut_off => Warmth::Warm { start_id },
+            WarmupPhase::Cold(round)
+                if holds && !self.tenures.waits(target.partition, target.hold_ms, now) =>
+            {
+                Warmth::Owned {
+                    allowance: round.allowance,
+                }
+            }
+            _ => Warmth::NotOwned,
+        };
+        if self.table.get(name) == warmth {
+            return;
+        }
+        self.is_dirty = true;
+        if warmth == Warmth::NotOwned {
+            self.table.targets.remove(name);
+        } else {
+            self.table.targets.insert(name.clone(), warmth);
+        }
+    }
+
+    fn announce(&mut self, board: &Blackboard, now: Now, out: &mut Effects) {
+        let mut warm = Vec::new();
+        for (name, target) in &mut self.targets {
+            let WarmupPhase::Warm(start_id) = target.phase else {
+                continue;
+            };
+            if self.tenures.holds(board, target.partition, now) {
+                target.announced_by = Some((board.host.clone(), 0));
+                warm.push(WarmTarget {
+                    target: name.clone(),
+                    start_id,
+                    zone_since: self
+                        .zone_since
+                        .get(&target.zone)
+                        .copied()
+                        .unwrap_or_default(),
+                });
+            }
+        }
+        if warm != self.announced {
+            self.announced.clone_from(&warm);
+            out.0.push(WarmupEffect::AnnounceWarm(warm));
+        }
+    }
+}
+
+impl Controller for WarmupController {
+    type Event = WarmupEvent;
+    type Effect = WarmupEffect;
+
+    fn step(&mut self, board: &Blackboard, event: WarmupEvent, now: Now) -> Vec<WarmupEffect> {
+        let mut out = Effects(Vec::new());
+        match event {
+            WarmupEvent::Answer {
+                target,
+                kind,
+                report,
+                latency_ns,
+            } => {
+                let seen = Answer {
+                    target: &target,
+                    kind,
+                    report,
+                    latency_ns,
+                };
+                self.answer(board, seen, now, &mut out);
+            }
+            WarmupEvent::ConnectionLost { target, run } => {
+                self.connection_lost(board, target, run, now, &mut out);
+            }
+            WarmupEvent::Reported(report) => self.reported(board, &report, now, &mut out),
+            WarmupEvent::Listed(listed) => {
+                self.take_list(listed);
+                self.refresh(board, now, &mut out);
+            }
+            WarmupEvent::Tick => {
+                let is_due = now.mono_ns >= self.refreshed_ns.plus_ms(REFRESH_MS);
+                if is_due || self.read != Some(ReadState::of(board, now)) {
+                    self.refresh(board, now, &mut out);
+                }
+            }
+        }
+        if std::mem::take(&mut self.is_dirty) {
+            self.writer.publish(self.table.clone());
+        }
+        out.0
+    }
+}
+
+/// An answer, borrowed from its event.
+struct Answer<'a> {
+    target: &'a Name,
+    kind: AnswerKind,
+    report: Option<(StartId, u64)>,
+    latency_ns: u64,
+}
+
+/// The effects of one step.
+struct Effects(Vec<WarmupEffect>);
+
+impl Effects {
+    fn record(&mut self, board: &Blackboard, now: Now, target: &Name, event: RecordEvent) {
+        let record = record_of(board, now, Subject::Target(target.clone()), event);
+        self.0.push(WarmupEffect::Record(record));
+    }
+}
+
+/// A good answer that took more than twice the service's usual time counts as slow.
+fn slowed(board: &Blackboard, service: &Name, kind: AnswerKind, latency_ns: u64) -> AnswerKind {
+    let routing = board.routing.read();
+    let usual_ns = routing.value.services.get(service).map_or(0, |targets| {
+        let time_ns = &targets.counters.service_time_ns;
+        time_ns.load(std::sync::atomic::Ordering::Relaxed)
+    });
+    if kind == AnswerKind::Good && usual_ns > 0 && latency_ns > usual_ns.saturating_mul(2) {
+        AnswerKind::Slow
+    } else {
+        kind
+    }
+}
--- /dev/null
+++ b/crates/controllers/tests/warmup.rs
@@ -0,0 +1,256 @@
+//! Fault cases of the warmup controller on one host.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod support;
+
+use heatherhinge_blackboard::{
+    Blackboard, WarmTarget, Warmth, Writers, ZoneEntry, ZonePhase, ZoneTable,
+};
+use heatherhinge_bundle::{BundleVersion, ZoneState};
+use heatherhinge_controllers::{
+    AnswerKind, ColdReport, Controller, ListedTarget, WarmupController, WarmupEffect, WarmupEvent,
+};
+use heatherhinge_types::{Name, StartId};
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use support::{addr, at, bundle, host, host_table, owned_by, record};
+use yare::parameterized;
+
+/// One host with one target; the target's partition is owned by `owner`.
+struct Bench {
+    board: Arc<Blackboard>,
+    writers: Option<Writers>,
+    warmup: WarmupController,
+    target: Name,
+    effects: Vec<WarmupEffect>,
+}
+
+impl Bench {
+    fn new(owner: usize) -> Self {
+        let (board, mut writers) = Blackboard::new(host(0), Name::from("north"));
+        writers.bundle.publish(Some(bundle(
+            1,
+            &[("north", ZoneState::In)],
+            &["read"],
+            None,
+        )));
+        writers.owners.publish(owned_by(&host(owner), at(60_000)));
+        let (_, spare) = heatherhinge_blackboard::entry(Default::default());
+        let warmth = std::mem::replace(&mut writers.warmth, spare);
+        let mut bench = Self {
+            board,
+            writers: Some(writers),
+            warmup: WarmupController::new(warmth),
+            target: Name::from(addr(9).to_string()),
+            effects: Vec::new(),
+        };
+        bench.step(0, listed());
+        bench
+    }
+
+    fn writers(&mut self) -> &mut Writers {
+        self.writers.as_mut().unwrap()
+    }
+
+    fn step(&mut self, ms: u64, event: WarmupEvent) {
+        let effects = self.warmup.step(&self.board, event, at(ms));
+        self.effects.extend(effects);
+    }
+
+    fn answer(&mut self, ms: u64, kind: AnswerKind, run: u64, uptime_ms: u64) {
+        let event = WarmupEvent::Answer {
+            target: self.target.clone(),
+            kind,
+            report: Some((StartId(run), uptime_ms)),
+            latency_ns: 1,
+        };
+        self.step(ms, event);
+    }
+
+    fn announce(&mut self, ms: u64, sequence: u64, runs: &[u64], zone_since: u64) {
+        let warm = runs.iter().map(|run| WarmTarget {
+            target: self.target.clone(),
+            start_id: StartId(*run),
+            zone_since: BundleVersion(zone_since),
+        });
+        let mut peer = record(&host(1), sequence);
+        peer.warm = warm.collect();
+        let table = host_table([(record(&host(0), 1), true), (peer, true)]);
+        self.writers().hosts.publish(table);
+        self.step(ms, WarmupEvent::Tick);
+    }
+
+    fn return_zone(&mut self, ms: u64, since: u64) {
+        let entry = ZoneEntry {
+            phase: ZonePhase::Returning,
+            since: BundleVersion(since),
+        };
+        let zones = BTreeMap::from([(Name::from("north"), entry)]);
+        self.writers().zones.publish(ZoneTable { zones });
+        self.step(ms, WarmupEvent::Tick);
+    }
+
+    fn warmth(&self) -> Warmth {
+        self.board.warmth.read().value.get(&self.target)
+    }
+
+    fn reports(&self) -> usize {
+        let is_report = |effect: &&WarmupEffect| matches!(effect, WarmupEffect::TellOwner { .. });
+        self.effects.iter().filter(is_report).count()
+    }
+}
+
+fn listed() -> WarmupEvent {
+    WarmupEvent::Listed(vec![ListedTarget {
+        service: Name::from("orders"),
+        addr: addr(9),
+        zone: Name::from("north"),
+        version: Name::from("v1"),
+        is_leaving: false,
+    }])
+}
+
+/// Guards against an allowance that rises faster than good answers prove, or stays after errors.
+#[parameterized(
+    new = { "", Warmth::Owned { allowance: 1 } },
+    one_good = { "g", Warmth::Owned { allowance: 2 } },
+    three_good = { "ggg", Warmth::Owned { allowance: 4 } },
+    capped_at_slots = { "ggggggg", Warmth::Owned { allowance: 5 } },
+    error_halves = { "ggge", Warmth::Owned { allowance: 2 } },
+    error_keeps_one = { "ee", Warmth::Owned { allowance: 1 } },
+    slow_holds = { "gsss", Warmth::Owned { allowance: 2 } },
+    three_rounds_at_slots = { "ggggggg ggggg ggggg ggggg", Warmth::Warm { start_id: StartId(7) } },
+    uptime_and_good = { "G", Warmth::Warm { start_id: StartId(7) } },
+    uptime_without_good = { "E", Warmth::Owned { allowance: 1 } },
+    restart_when_warm = { "Gn", Warmth::Owned { allowance: 1 } },
+    late_answer_of_ended_run = { "GnG", Warmth::Owned { allowance: 1 } },
+)]
+fn owner_warms_a_target(answers: &str, expected: Warmth) {
+    let mut bench = Bench::new(0);
+    for answer in answers.chars().filter(|c| *c != ' ') {
+        match answer {
+            'g' => bench.answer(10, AnswerKind::Good, 7, 10),
+            's' => bench.answer(10, AnswerKind::Slow, 7, 10),
+            'e' => bench.answer(10, AnswerKind::Error, 7, 10),
+            'G' => bench.answer(10, AnswerKind::Good, 7, 3_000),
+            'E' => bench.answer(10, AnswerKind::Error, 7, 3_000),
+            _ => bench.answer(10, AnswerKind::Error, 8, 5),
+        }
+    }
+    assert_eq!(bench.warmth(), expected);
+}
+
+/// Guards against a host that uses a cold target of another owner, or that goes on using a target
+/// on an announcement that its own observation, the owner or a return of the zone has voided.
+#[parameterized(
+    never_announced = { "", false, 0 },
+    announced = { "a", true, 0 },
+    withdrawn = { "aw", false, 0 },
+    own_evidence_first = { "ar", false, 1 },
+    stale_record_after_evidence = { "ara", false, 1 },
+    owner_stands_by_it = { "ar.....a", true, 1 },
+    new_run = { "an", false, 1 },
+    ended_run_announced_again = { "an.....a", false, 1 },
+    told_once = { "arr", false, 1 },
+    zone_returned = { "az", false, 0 },
+    old_announcement_after_return = { "aza", false, 0 },
+    announced_after_return = { "azA", true, 0 },
+)]
+fn other_hosts_follow_the_owner(events: &str, is_warm: bool, reports: usize) {
+    let mut bench = Bench::new(1);
+    for (index, event) in events.chars().enumerate() {
+        let (ms, sequence) = (1_000 * (index as u64 + 1), index as u64 + 1);
+        let lost = WarmupEvent::ConnectionLost {
+            target: bench.target.clone(),
+            run: Some(StartId(7)),
+        };
+        match event {
+            'a' => bench.announce(ms, sequence, &[7], 0),
+            'A' => bench.announce(ms, sequence, &[7], 2),
+            'w' => bench.announce(ms, sequence, &[], 0),
+            'r' => bench.step(ms, lost),
+            'n' => bench.answer(ms, AnswerKind::Good, 8, 5),
+            'z' => bench.return_zone(ms, 2),
+            _ => bench.step(ms, WarmupEvent::Tick),
+        }
+    }
+    let expected = if is_warm {
+        Warmth::Warm {
+            start_id: StartId(7),
+        }
+    } else {
+        Warmth::NotOwned
+    };
+    assert_eq!(bench.warmth(), expected);
+    assert_eq!(bench.reports(), reports);
+}
+
+/// Guards against an owner that sends on after its lease, and one that ignores peers' reports.
+#[test]
+fn lease_end_and_peer_reports() {
+    let mut bench = Bench::new(0);
+    bench.answer(10, AnswerKind::Good, 7, 4_000);
+    let report = |lost, new| {
+        WarmupEvent::Reported(ColdReport {
+            target: Name::from(addr(9).to_string()),
+            lost_run: Some(StartId(lost)),
+            new_run: new,
+        })
+    };
+    let warm = Warmth::Warm {
+        start_id: StartId(7),
+    };
+    bench.step(20, report(6, None));
+    assert_eq!(bench.warmth(), warm, "a report on an ended run is old news");
+    bench.step(30, report(7, Some(StartId(8))));
+    assert_eq!(bench.warmth(), Warmth::Owned { allowance: 1 });
+    assert_eq!(
+        bench.effects.last(),
+        Some(&WarmupEffect::AnnounceWarm(vec![]))
+    );
+    bench.step(59_600, WarmupEvent::Tick);
+    assert_eq!(bench.warmth(), Warmth::NotOwned);
+}
+
+/// Guards against a rebuild of the whole table for answers that change nothing.
+#[test]
+fn plain_answers_publish_nothing() {
+    let mut bench = Bench::new(0);
+    bench.answer(10, AnswerKind::Good, 7, 4_000);
+    let version = bench.board.warmth.read().version;
+    for _ in 0..1_000 {
+        bench.answer(20, AnswerKind::Good, 7, 4_100);
+    }
+    bench.step(900, WarmupEvent::Tick);
+    assert_eq!(bench.board.warmth.read().version, version);
+}
+
+/// Guards against a new owner that adds its first request to those of the owner before, and
+/// against a host without contact to its peers that trusts old announcements.
+#[test]
+fn takeover_waits_and_a_cut_off_host_holds_back() {
+    let mut bench = Bench::new(1);
+    bench.announce(100, 1, &[7], 0);
+    let alone = host_table([(record(&host(0), 1), true), (record(&host(1), 1), false)]);
+    bench.writers().hosts.publish(alone);
+    bench.step(1_000, WarmupEvent::Tick);
+    assert_eq!(bench.warmth(), Warmth::NotOwned, "cut off");
+    bench.announce(1_500, 2, &[], 0);
+    let mut table = owned_by(&host(0), at(60_000));
+    for partition in heatherhinge_types::Partition::all() {
+        table.set(
+            partition,
+            Some(support::owner(&host(0), 2, at(2_000).wall_ms)),
+        );
+    }
+    bench.writers().owners.publish(table);
+    bench.step(2_000, WarmupEvent::Tick);
+    assert_eq!(
+        bench.warmth(),
+        Warmth::NotOwned,
+        "requests of the earlier owner may run"
+    );
+    bench.step(2_500, WarmupEvent::Tick);
+    assert_eq!(bench.warmth(), Warmth::Owned { allowance: 1 });
+}
