Name the attempt in claims and settlements

Cause: a late settlement of an earlier attempt could give back a newer claim of the same key; the claims table now needs the attempt's id in both messages. Change: the data path names each attempt by the host's start and the number of the request. Conclusion: none beyond the claims table's own tests.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -9,7 +9,7 @@
 use crate::story::Story;
 use crate::{AnswerBody, Clock, Limits, Observer, Peers, ServerBody, refusal};
 use heatherhinge_blackboard::{Blackboard, HostPhase};
-use heatherhinge_claims::{ClaimAnswer, ClaimRequest, Outcome, Settlement};
+use heatherhinge_claims::{AttemptId, ClaimAnswer, ClaimRequest, Outcome, Settlement};
 use heatherhinge_policy::{
     AttemptOutcome, Next, Picker, Plan, RequestFacts, RetryBudget, after_attempt, plan,
 };
@@ -47,6 +47,8 @@
     pub limits: Limits,
     /// Seed of the random choices.
     pub seed: u64,
+    /// Wall time of the host's start in milliseconds, which tells its runs apart in claims.
+    pub incarnation: u64,
 }
 
 /// The data path of a host.
@@ -60,6 +62,7 @@
     clock: Clock,
     limits: Limits,
     seed: u64,
+    incarnation: u64,
     requests: AtomicU64,
 }
 
@@ -81,7 +84,7 @@
             observer,
             clock,
             limits,
-            seed,
+            ..
         } = parts;
         let dispatcher = Dispatcher::new(Arc::clone(&board), picker, clock);
         let sender = Sender::new(
@@ -91,7 +94,6 @@
             clock,
             &limits,
         );
-        let requests = AtomicU64::new(0);
         Self {
             board,
             dispatcher,
@@ -100,8 +102,9 @@
             records,
             clock,
             limits,
-            seed,
-            requests,
+            seed: parts.seed,
+            incarnation: parts.incarnation,
+            requests: AtomicU64::new(0),
         }
     }
 
@@ -116,11 +119,18 @@
         let number = self.requests.fetch_add(1, Ordering::Relaxed);
         self.board.counters.requests.fetch_add(1, Ordering::Relaxed);
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(number));
+        let claim_attempt = AttemptId {
+            incarnation: self.incarnation,
+            sequence: number,
+        };
         let (head, body) = request.into_parts();
         let trace = Trace::of(&head.headers, &mut rng);
         let id = trace.request_id.clone();
         let span = tracing::debug_span!("hop", request_id = %id, path = head.uri.path());
-        let answer = self.accept(head, body, trace, rng).instrument(span).await;
+        let answer = self
+            .accept(head, body, trace, claim_attempt, rng)
+            .instrument(span)
+            .await;
         let mut response = answer.unwrap_or_else(|code| refusal(code, &id));
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(header::REQUEST_ID, value);
@@ -133,6 +143,7 @@
         head: Parts,
         body: Incoming,
         trace: Trace,
+        claim_attempt: AttemptId,
         rng: Pcg64Mcg,
     ) -> Result<Response<ServerBody>, Code> {
         let now = self.clock.now();
@@ -170,7 +181,7 @@
             return self.run(call).await;
         };
         // A claimed request goes on when its caller has left, so that a resend finds its answer.
-        let task = tokio::spawn(self.run_claimed(key, call).in_current_span());
+        let task = tokio::spawn(self.run_claimed(key, claim_attempt, call).in_current_span());
         task.await.unwrap_or(Err(Code::TargetBroke))
     }
 
@@ -214,6 +225,7 @@
     async fn run_claimed(
         self: Arc<Self>,
         key: RequestKey,
+        attempt: AttemptId,
         mut call: Call,
     ) -> Result<Response<ServerBody>, Code> {
         let sender = self.board.host.clone();
@@ -221,6 +233,7 @@
             key,
             digest: call.digest,
             sender: sender.clone(),
+            attempt,
         };
         self.board
             .counters
@@ -251,6 +264,7 @@
                 key,
                 digest,
                 sender,
+                attempt,
                 outcome,
             })
             .await;
--- a/crates/proxy/tests/path.rs
+++ b/crates/proxy/tests/path.rs
@@ -120,6 +120,7 @@
             ..Limits::default()
         },
         seed: 1,
+        incarnation: 1,
     });
     let any_port = "127.0.0.1:0".parse().unwrap();
     Server::bind(any_port, Arc::new(proxy), axum::Router::new())
