Add the tarpc service between entry hosts

Cause: the owner of a key, a digest or a target is another host most of the time. Conclusion: the daemon can connect claims, ownership and host records to it.

--- /dev/null
+++ b/crates/peer/src/handler.rs
@@ -0,0 +1,35 @@
+//! What a host answers to other hosts.
+
+use crate::{ColdReport, CrashReport};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
+use heatherhinge_types::Digest;
+use std::future::Future;
+
+/// Answers the calls of other hosts. A handler may be cut short when the deadline of the call has
+/// passed or its connection broke, at any point where it waits.
+pub trait PeerHandler: Send + Sync + 'static {
+    /// Decides a claim for a key that this host may own.
+    fn claim(&self, request: ClaimRequest) -> impl Future<Output = ClaimAnswer> + Send;
+
+    /// Takes in how a claimed request ended.
+    fn settle(&self, settlement: Settlement) -> impl Future<Output = SettleAnswer> + Send;
+
+    /// Takes in and returns host records.
+    fn exchange(&self, request: ExchangeRequest) -> impl Future<Output = ExchangeAnswer> + Send;
+
+    /// Counts a crash against the digest of the request that a target was running.
+    fn report_crash(&self, report: CrashReport) -> impl Future<Output = ()> + Send;
+
+    /// Clears the crashes counted against a digest.
+    fn report_success(&self, digest: Digest) -> impl Future<Output = ()> + Send;
+
+    /// Takes one part of the claims of a partition. Returns whether it was kept.
+    fn hand_over(&self, handed: HandedPartition) -> impl Future<Output = bool> + Send;
+
+    /// Returns the envelope of a bundle version, if this host has it.
+    fn fetch_bundle(&self, version: u64) -> impl Future<Output = Option<Vec<u8>>> + Send;
+
+    /// Takes in that a target was seen cold.
+    fn cold_seen(&self, report: ColdReport) -> impl Future<Output = ()> + Send;
+}
--- /dev/null
+++ b/crates/peer/src/service.rs
@@ -0,0 +1,66 @@
+//! The calls as `tarpc` sees them.
+
+use crate::{ColdReport, CrashReport, PeerHandler};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
+use heatherhinge_types::Digest;
+use std::sync::Arc;
+use tarpc::context::Context;
+
+/// The service; [`PeerHandler`] explains each call. New calls go to the end, because a call is
+/// known on the wire by its place.
+#[tarpc::service]
+pub(crate) trait PeerService {
+    async fn claim(request: ClaimRequest) -> ClaimAnswer;
+    async fn settle(settlement: Settlement) -> SettleAnswer;
+    async fn exchange(request: ExchangeRequest) -> ExchangeAnswer;
+    async fn report_crash(report: CrashReport);
+    async fn report_success(digest: Digest);
+    async fn hand_over(handed: HandedPartition) -> bool;
+    async fn fetch_bundle(version: u64) -> Option<Vec<u8>>;
+    async fn cold_seen(report: ColdReport);
+}
+
+/// Passes each call on to the handler of this host.
+#[derive(Debug)]
+pub(crate) struct Dispatch<H>(pub(crate) Arc<H>);
+
+impl<H> Clone for Dispatch<H> {
+    fn clone(&self) -> Self {
+        Self(Arc::clone(&self.0))
+    }
+}
+
+impl<H: PeerHandler> PeerService for Dispatch<H> {
+    async fn claim(self, _: Context, request: ClaimRequest) -> ClaimAnswer {
+        self.0.claim(request).await
+    }
+
+    async fn settle(self, _: Context, settlement: Settlement) -> SettleAnswer {
+        self.0.settle(settlement).await
+    }
+
+    async fn exchange(self, _: Context, request: ExchangeRequest) -> ExchangeAnswer {
+        self.0.exchange(request).await
+    }
+
+    async fn report_crash(self, _: Context, report: CrashReport) {
+        self.0.report_crash(report).await;
+    }
+
+    async fn report_success(self, _: Context, digest: Digest) {
+        self.0.report_success(digest).await;
+    }
+
+    async fn hand_over(self, _: Context, handed: HandedPartition) -> bool {
+        self.0.hand_over(handed).await
+    }
+
+    async fn fetch_bundle(self, _: Context, version: u64) -> Option<Vec<u8>> {
+        self.0.fetch_bundle(version).await
+    }
+
+    async fn cold_seen(self, _: Context, report: ColdReport) {
+        self.0.cold_seen(report).await;
+    }
+}
