Add the clients of the platform and the settling of lost answers

Cause: hosts share the platform's table, object store and host list, and the answer to a write can be lost after the write took effect. Change: crates/platform with the traits Table, Objects and HostList, one client for each over a pooled HTTP/1.1 connection with a time limit, four kinds of error, and write_once, which settles a lost answer by the nonce in the row and sends a copy under the same condition when the row is unchanged. A write whose answer is late, broken or not readable is reported as outcome unknown; only a refused connection, 503 and 429 count as without effect. crates/types gets code 2304 for this outcome, because 2301 does not tell it from an outage. Conclusion: controllers can be given read results and write outcomes that say no more than is known.

--- a/crates/platform/src/lib.rs
+++ b/crates/platform/src/lib.rs
@@ -1,1 +1,34 @@
 //! Clients of the platform's table service, object store and host list.
+//!
+//! Each service has a small trait ([`Table`], [`Objects`], [`HostList`]) so that the parts that
+//! use it are generic over it, and one client that speaks the published protocol: DynamoDB's JSON
+//! 1.0, S3 REST and Prometheus `http_sd`. Every call has a time limit.
+//!
+//! The answer to a write can be lost after the write took effect. The clients never hide that: the
+//! error is [`PlatformError::OutcomeUnknown`], and [`write_once`] settles it by reading the row
+//! again. See `docs/design.md`, sections 8, 13 and 18.
+
+mod attribute;
+mod error;
+mod host_list;
+mod http_caller;
+mod item;
+mod listing;
+mod object_client;
+mod object_list;
+mod table_client;
+mod table_wire;
+mod traits;
+mod write;
+mod write_once;
+
+pub use attribute::Attribute;
+pub use error::PlatformError;
+pub use host_list::HostListClient;
+pub use item::Item;
+pub use listing::{EntryListing, Listing, TargetListing};
+pub use object_client::ObjectClient;
+pub use table_client::TableClient;
+pub use traits::{HostList, Objects, Table};
+pub use write::{Condition, Write};
+pub use write_once::write_once;
--- /dev/null
+++ b/crates/platform/src/write.rs
@@ -0,0 +1,40 @@
+//! Writes to the table and their conditions.
+
+use crate::Item;
+
+/// What must hold of the stored row for a write to take effect.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Condition {
+    /// No condition.
+    Always,
+    /// There is no row with the key.
+    NotExists,
+    /// The stored row has this version.
+    Version(u64),
+}
+
+/// One write.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Write {
+    /// Stores a row in place of an earlier one with the same key.
+    Put {
+        /// The row.
+        item: Item,
+        /// What must hold of the stored row.
+        condition: Condition,
+    },
+    /// Deletes a row.
+    Delete {
+        /// Key of the row.
+        pk: String,
+        /// What must hold of the stored row.
+        condition: Condition,
+    },
+    /// Writes nothing, but its condition must hold for the transaction to take effect.
+    Check {
+        /// Key of the row.
+        pk: String,
+        /// What must hold of the stored row.
+        condition: Condition,
+    },
+}
--- /dev/null
+++ b/crates/platform/tests/table.rs
@@ -0,0 +1,234 @@
+//! The table client against the stand-in, with faults.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+use heatherhinge_platform::{
+    Attribute, Condition, Item, PlatformError, Table, TableClient, Write, write_once,
+};
+use heatherhinge_standin_platform::{
+    FaultSettings, Options, RunningPlatform, ServiceFaults, spawn,
+};
+use tokio::net::TcpSocket;
+use yare::parameterized;
+
+/// Limit of a call that is expected to be answered.
+const TIMEOUT_MS: u64 = 10_000;
+/// Delay that no call waits for.
+const FOREVER_MS: u64 = 600_000;
+
+const NO_FAULT: ServiceFaults = ServiceFaults {
+    outage: false,
+    delay_ms: 0,
+    lost_before_effect_next: 0,
+    lost_after_effect_next: 0,
+    lost_after_effect_permille: 0,
+    malformed_next: 0,
+    seed: 0,
+};
+const OUTAGE: ServiceFaults = ServiceFaults {
+    outage: true,
+    ..NO_FAULT
+};
+const SLOW: ServiceFaults = ServiceFaults {
+    delay_ms: FOREVER_MS,
+    ..NO_FAULT
+};
+const LOST_BEFORE: ServiceFaults = ServiceFaults {
+    lost_before_effect_next: 1,
+    ..NO_FAULT
+};
+const LOST_AFTER: ServiceFaults = ServiceFaults {
+    lost_after_effect_next: 1,
+    ..NO_FAULT
+};
+const ALWAYS_LOST: ServiceFaults = ServiceFaults {
+    lost_after_effect_permille: 1_000,
+    ..NO_FAULT
+};
+const MALFORMED: ServiceFaults = ServiceFaults {
+    malformed_next: 1,
+    ..NO_FAULT
+};
+
+fn switch(platform: &RunningPlatform, faults: ServiceFaults) {
+    platform.set_faults(FaultSettings {
+        table: Some(faults),
+        ..FaultSettings::default()
+    });
+}
+
+/// Starts a stand-in that holds the row `a` in version 1.
+async fn start() -> (RunningPlatform, TableClient) {
+    let platform = spawn(&Options::default()).await.unwrap();
+    let client = TableClient::new(platform.table_addr, "heatherhinge", TIMEOUT_MS);
+    client
+        .put(&row("a", 1), Condition::NotExists)
+        .await
+        .unwrap();
+    (platform, client)
+}
+
+/// Returns a client that gives up soon if the fault never lets a call be answered.
+fn client_for(platform: &RunningPlatform, faults: ServiceFaults) -> TableClient {
+    let timeout_ms = if faults == SLOW { 100 } else { TIMEOUT_MS };
+    TableClient::new(platform.table_addr, "heatherhinge", timeout_ms)
+}
+
+fn row(pk: &str, version: u64) -> Item {
+    Item {
+        pk: pk.to_owned(),
+        version,
+        nonce: format!("writer-1/{version}"),
+        body: vec![0, 255, 7].into(),
+        attributes: [("owner".to_owned(), Attribute::Text("host-1".to_owned()))].into(),
+    }
+}
+
+fn put(item: Item, condition: Condition) -> Write {
+    Write::Put { item, condition }
+}
+
+fn kind(result: Result<(), PlatformError>) -> Result<(), PlatformError> {
+    result.map_err(|error| match error {
+        PlatformError::Malformed(_) => PlatformError::Malformed(String::new()),
+        error => error,
+    })
+}
+
+/// Guards against a row that is read otherwise than it was written.
+#[tokio::test]
+async fn rows_are_read_as_written() {
+    let (_platform, client) = start().await;
+    assert_eq!(client.get("a").await, Ok(Some(row("a", 1))));
+    assert_eq!(client.get("b").await, Ok(None));
+    client.put(&row("ab", 3), Condition::Always).await.unwrap();
+    client.put(&row("b", 4), Condition::Always).await.unwrap();
+    let scanned = client.scan("a").await;
+    assert_eq!(scanned, Ok(vec![row("a", 1), row("ab", 3)]));
+    client.delete("ab", Condition::Version(3)).await.unwrap();
+    assert_eq!(client.get("ab").await, Ok(None));
+}
+
+/// Guards against a write whose outcome is reported wrongly under a fault.
+#[parameterized(
+    none = { NO_FAULT, Ok(()), Some(2) },
+    outage = { OUTAGE, Err(PlatformError::Unavailable), Some(1) },
+    slow = { SLOW, Err(PlatformError::OutcomeUnknown), None },
+    lost_before_effect = { LOST_BEFORE, Err(PlatformError::OutcomeUnknown), Some(1) },
+    lost_after_effect = { LOST_AFTER, Err(PlatformError::OutcomeUnknown), Some(2) },
+    malformed_answer = { MALFORMED, Err(PlatformError::OutcomeUnknown), Some(2) },
+)]
+#[test_macro(tokio::test)]
+async fn write_under_fault(
+    faults: ServiceFaults,
+    expected: Result<(), PlatformError>,
+    stored: Option<u64>,
+) {
+    let (platform, client) = start().await;
+    switch(&platform, faults);
+    let writer = client_for(&platform, faults);
+    let result = writer.put(&row("a", 2), Condition::Version(1)).await;
+    assert_eq!(result, expected);
+    switch(&platform, NO_FAULT);
+    if let Some(version) = stored {
+        assert_eq!(client.get("a").await, Ok(Some(row("a", version))));
+    }
+}
+
+/// Guards against a read that takes a fault for an absent row.
+#[parameterized(
+    outage = { OUTAGE, PlatformError::Unavailable },
+    slow = { SLOW, PlatformError::Unavailable },
+    malformed_answer = { MALFORMED, PlatformError::Malformed(String::new()) },
+)]
+#[test_macro(tokio::test)]
+async fn read_under_fault(faults: ServiceFaults, expected: PlatformError) {
+    let (platform, _) = start().await;
+    let reader = client_for(&platform, faults);
+    switch(&platform, faults);
+    let result = reader.get("a").await.map(drop);
+    assert_eq!(kind(result), Err(expected.clone()));
+    switch(&platform, faults);
+    let result = reader.scan("a").await.map(drop);
+    assert_eq!(kind(result), Err(expected));
+}
+
+/// Guards against a refusal that is taken for an outage and tried again for ever.
+#[parameterized(
+    exists = { row("a", 2), Condition::NotExists, PlatformError::Conflict },
+    other_version = { row("a", 3), Condition::Version(2), PlatformError::Conflict },
+    absent = { row("b", 3), Condition::Version(2), PlatformError::Conflict },
+    oversized = { Item { body: vec![0; 400 * 1024].into(), ..row("a", 2) }, Condition::Version(1), PlatformError::Malformed(String::new()) },
+    no_key = { row("", 2), Condition::Always, PlatformError::Malformed(String::new()) },
+)]
+#[test_macro(tokio::test)]
+async fn refused_write_changes_nothing(item: Item, condition: Condition, expected: PlatformError) {
+    let (_platform, client) = start().await;
+    let alone = client.put(&item, condition).await;
+    assert_eq!(kind(alone), Err(expected.clone()));
+    let writes = [put(row("c", 1), Condition::NotExists), put(item, condition)];
+    let together = client.transact(&writes).await;
+    assert_eq!(kind(together), Err(expected));
+    assert_eq!(client.scan("").await, Ok(vec![row("a", 1)]));
+}
+
+/// Guards against a lost answer that leaves the writer wrong about what is stored.
+#[parameterized(
+    none = { NO_FAULT, Ok(()) },
+    lost_before_effect = { LOST_BEFORE, Ok(()) },
+    lost_after_effect = { LOST_AFTER, Ok(()) },
+    malformed_answer = { MALFORMED, Ok(()) },
+    every_answer_lost = { ALWAYS_LOST, Ok(()) },
+    outage = { OUTAGE, Err(PlatformError::Unavailable) },
+    slow = { SLOW, Err(PlatformError::OutcomeUnknown) },
+)]
+#[test_macro(tokio::test)]
+async fn lost_answer_is_settled(faults: ServiceFaults, expected: Result<(), PlatformError>) {
+    let one = vec![put(row("a", 2), Condition::Version(1))];
+    let two = vec![
+        put(row("a", 2), Condition::Version(1)),
+        put(row("a#2", 1), Condition::NotExists),
+    ];
+    for writes in [one, two] {
+        let (platform, client) = start().await;
+        switch(&platform, faults);
+        let writer = client_for(&platform, faults);
+        assert_eq!(write_once(&writer, &writes).await, expected);
+        switch(&platform, NO_FAULT);
+        // A second call settles the write whether or not the first copy took effect.
+        assert_eq!(write_once(&client, &writes).await, Ok(()));
+        let stored = client.scan("a").await.map(|rows| rows.len());
+        assert_eq!(stored, Ok(writes.len()));
+    }
+}
+
+/// Guards against two writers that both believe that they wrote the same version.
+#[tokio::test]
+async fn one_of_two_writers_wins() {
+    let (platform, client) = start().await;
+    switch(&platform, ALWAYS_LOST);
+    let first = put(row("a", 2), Condition::Version(1));
+    let second = Item {
+        nonce: "writer-2/2".to_owned(),
+        ..row("a", 2)
+    };
+    let second = put(second, Condition::Version(1));
+    assert_eq!(write_once(&client, &[first]).await, Ok(()));
+    let lost = write_once(&client, &[second]).await;
+    assert_eq!(lost, Err(PlatformError::Conflict));
+}
+
+/// Guards against a service that is not there being taken for one that may have written.
+#[tokio::test]
+async fn refused_connection_is_unavailable() {
+    let (platform, client) = start().await;
+    drop(platform);
+    assert_eq!(client.get("a").await, Err(PlatformError::Unavailable));
+    // The socket holds the port without listening, so that no other test is given it.
+    let socket = TcpSocket::new_v4().unwrap();
+    socket.bind("127.0.0.1:0".parse().unwrap()).unwrap();
+    let addr = socket.local_addr().unwrap();
+    let client = TableClient::new(addr, "heatherhinge", TIMEOUT_MS);
+    let result = client.put(&row("a", 2), Condition::Always).await;
+    assert_eq!(result, Err(PlatformError::Unavailable));
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -110,6 +110,7 @@
     StoreUnavailable = 2301, SERVICE_UNAVAILABLE, Unknown, "The platform's store cannot be reached.";
     StoreConflict = 2302, CONFLICT, No, "The condition of a write did not hold.";
     StoreMalformed = 2303, BAD_GATEWAY, Unknown, "The platform's answer cannot be read.";
+    StoreOutcomeUnknown = 2304, GATEWAY_TIMEOUT, Unknown, "The answer to a write was lost; the write may have taken effect.";
     PeerMalformed = 2401, BAD_REQUEST, No, "A message from another host cannot be read.";
     PeerUnavailable = 2402, SERVICE_UNAVAILABLE, Unknown, "Another host cannot be reached.";
     RecordNotFound = 2501, NOT_FOUND, No, "No record of this request or move was found.";
