Add the load tool's open-loop runs

Cause: added time and outcomes have to be measured from outside, with arrivals that do not wait for answers. Change: heatherhinge-load run sends seeded Poisson arrivals from INI profiles to entry hosts (asked for, kept for keep_ms) or directly to a target, resends keyed requests with an unknown outcome, and writes Markdown, JSON and SVG. Every second request can go directly to a target, to report the added time in the same run. A thread of its own hands out arrivals, because the runtime's timer has a resolution of 1 ms. The stand-in target no longer sleeps for a late answer of 0 ms.

--- /dev/null
+++ b/crates/load/src/main.rs
@@ -0,0 +1,114 @@
+//! Command line of the load and experiment tool.
+
+mod options;
+
+use heatherhinge_load::profile::Profile;
+use heatherhinge_load::run::{AddressList, Direct, HttpClient, RunLimits, RunReport};
+use heatherhinge_load::run::{compare, run_load};
+use options::{Command, Goal, Output, RunOptions};
+use serde::Serialize;
+use std::process::ExitCode;
+
+/// The run was bad: more errors than allowed.
+const EXIT_BAD: u8 = 3;
+/// The tool cannot do its work.
+const EXIT_FAILED: u8 = 2;
+
+fn main() -> ExitCode {
+    let result = match options::parse() {
+        Command::Run(options) => run(&options),
+    };
+    match result {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::from(EXIT_BAD),
+        Err(error) => {
+            eprintln!("{error:#}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+/// Runs load and returns whether the error share is within its bound.
+#[tokio::main]
+async fn run(options: &RunOptions) -> eyre::Result<bool> {
+    let text = std::fs::read_to_string(&options.profile)
+        .map_err(|error| eyre::eyre!("load: {}: {error}", options.profile.display()))?;
+    let profile: Profile = text
+        .parse()
+        .map_err(|error| eyre::eyre!("load: {}: {error}", options.profile.display()))?;
+    if !(options.rate_factor.is_finite() && options.rate_factor > 0.0) {
+        eyre::bail!("load: --rate-factor must be above 0");
+    }
+    let limits = RunLimits {
+        duration: options.duration()?,
+        max_requests: options.max_requests,
+        max_in_flight: options.max_in_flight,
+    };
+    let seed_and_rate = (options.seed, options.rate_factor);
+    match (&options.goal, options.compare_direct) {
+        (Goal::Direct { direct }, None) => {
+            let reports = run_load(&profile, Direct(*direct), seed_and_rate, limits, 1).await?;
+            finish(options, &reports)
+        }
+        (Goal::Direct { direct }, Some(target)) => {
+            let result = compare(&profile, Direct(*direct), target, seed_and_rate, limits).await?;
+            finish_comparison(options, &result)
+        }
+        (Goal::Entry { .. }, None) => {
+            let hosts = entry_hosts(options).await?;
+            let reports = run_load(&profile, hosts, seed_and_rate, limits, 1).await?;
+            finish(options, &reports)
+        }
+        (Goal::Entry { .. }, Some(target)) => {
+            let hosts = entry_hosts(options).await?;
+            let result = compare(&profile, hosts, target, seed_and_rate, limits).await?;
+            finish_comparison(options, &result)
+        }
+    }
+}
+
+async fn entry_hosts(options: &RunOptions) -> eyre::Result<AddressList> {
+    let seeds = match &options.goal {
+        Goal::Entry { entry } => entry.clone(),
+        Goal::Direct { direct } => vec![*direct],
+    };
+    AddressList::spawn(HttpClient::default(), seeds, options.zone.clone()).await
+}
+
+fn finish(options: &RunOptions, reports: &[RunReport]) -> eyre::Result<bool> {
+    for report in reports {
+        println!("{}", report.to_markdown());
+    }
+    write_json(&options.output, &reports)?;
+    if let Some(path) = &options.output.svg {
+        RunReport::plot(reports, &["all"]).write_svg(path)?;
+    }
+    Ok(is_good(options, reports))
+}
+
+fn finish_comparison(
+    options: &RunOptions,
+    result: &heatherhinge_load::run::Comparison,
+) -> eyre::Result<bool> {
+    println!("{}", result.to_markdown());
+    write_json(&options.output, result)?;
+    let reports = [result.through.clone(), result.direct.clone()];
+    if let Some(path) = &options.output.svg {
+        RunReport::plot(&reports, &["through entry hosts", "directly"]).write_svg(path)?;
+    }
+    Ok(is_good(options, &reports))
+}
+
+fn is_good(options: &RunOptions, reports: &[RunReport]) -> bool {
+    reports
+        .iter()
+        .all(|report| report.bad_permille() <= options.max_bad_permille)
+}
+
+fn write_json<T: Serialize>(output: &Output, value: &T) -> eyre::Result<()> {
+    if let Some(path) = &output.json {
+        std::fs::write(path, serde_json::to_string_pretty(value)?)
+            .map_err(|error| eyre::eyre!("load: {}: {error}", path.display()))?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/load/src/run/client.rs
@@ -0,0 +1,174 @@
+//! Sends single requests and tells what came of them.
+
+use crate::profile::RouteMix;
+use bytes::Bytes;
+use heatherhinge_types::{RequestKey, header};
+use http::{HeaderMap, Request};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper_util::client::legacy::Client;
+use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::TokioExecutor;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time limit of questions that are not part of the load.
+const ASK_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// The head of a whole answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Reply {
+    /// HTTP status.
+    pub status: u16,
+    /// Value of `Heatherhinge-Code`.
+    pub code: Option<u16>,
+    /// Value of `Heatherhinge-Ran`.
+    pub ran: Option<String>,
+    /// Whether the target says that the request did not run.
+    pub is_not_run: bool,
+    /// Bytes of the body.
+    pub body_bytes: u64,
+}
+
+/// What came of one request.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Sent {
+    /// A whole answer.
+    Answered(Reply),
+    /// No connection was opened.
+    Unreachable,
+    /// The connection broke before the answer was whole.
+    Broke,
+    /// The deadline passed.
+    TimedOut,
+}
+
+impl Sent {
+    /// Returns whether the request may have run although there is no good answer.
+    #[must_use]
+    pub fn is_unknown(&self) -> bool {
+        match self {
+            Self::Answered(reply) if reply.is_not_run => false,
+            Self::Answered(reply) => match reply.ran.as_deref() {
+                Some(ran) => ran == "unknown",
+                None => reply.status >= 500,
+            },
+            Self::Unreachable => false,
+            Self::Broke | Self::TimedOut => true,
+        }
+    }
+
+    /// Returns whether the request was served well.
+    #[must_use]
+    pub fn is_good(&self) -> bool {
+        matches!(self, Self::Answered(reply) if (200..400).contains(&reply.status))
+    }
+}
+
+/// An HTTP client that never sends a request twice by itself.
+#[derive(Clone, Debug)]
+pub struct HttpClient(Client<HttpConnector, Full<Bytes>>);
+
+impl Default for HttpClient {
+    fn default() -> Self {
+        let mut connector = HttpConnector::new();
+        connector.set_nodelay(true);
+        let client = Client::builder(TokioExecutor::new())
+            .retry_canceled_requests(false)
+            .pool_max_idle_per_host(1_024)
+            .build(connector);
+        Self(client)
+    }
+}
+
+impl HttpClient {
+    /// Fetches a small document; `None` if there is no whole answer with status 200.
+    pub async fn get(&self, host: SocketAddr, path: &str) -> Option<Bytes> {
+        let request = Request::get(format!("http://{host}{path}"))
+            .body(Full::default())
+            .ok()?;
+        let response = tokio::time::timeout(ASK_TIMEOUT, self.0.request(request))
+            .await
+            .ok()?
+            .ok()?;
+        if response.status() != http::StatusCode::OK {
+            return None;
+        }
+        let body = tokio::time::timeout(ASK_TIMEOUT, response.into_body().collect()).await;
+        Some(body.ok()?.ok()?.to_bytes())
+    }
+
+    /// Sends one request of a route and reads the whole answer within `time_left`.
+    pub async fn send(
+        &self,
+        host: SocketAddr,
+        route: &RouteMix,
+        key: Option<RequestKey>,
+        time_left: Duration,
+    ) -> Sent {
+        let Some(request) = build(host, route, key, time_left) else {
+            return Sent::Unreachable;
+        };
+        tokio::time::timeout(time_left, self.exchange(request))
+            .await
+            .unwrap_or(Sent::TimedOut)
+    }
+
+    async fn exchange(&self, request: Request<Full<Bytes>>) -> Sent {
+        let response = match self.0.request(request).await {
+            Ok(response) => response,
+            Err(error) if error.is_connect() => return Sent::Unreachable,
+            Err(_) => return Sent::Broke,
+        };
+        let (parts, body) = response.into_parts();
+        match count_bytes(body).await {
+            Some(body_bytes) => {
+                Sent::Answered(reply(parts.status.as_u16(), &parts.headers, body_bytes))
+            }
+            None => Sent::Broke,
+        }
+    }
+}
+
+fn build(
+    host: SocketAddr,
+    route: &RouteMix,
+    key: Option<RequestKey>,
+    time_left: Duration,
+) -> Option<Request<Full<Bytes>>> {
+    let mut request = Request::builder()
+        .method(route.method.clone())
+        .uri(format!("http://{host}{}", route.path))
+        .header(
+            header::DEADLINE_MS,
+            time_left.as_millis().max(1).to_string(),
+        )
+        .header("priority", format!("u={}", route.urgency.level()));
+    if let Some(key) = key {
+        request = request.header(header::IDEMPOTENCY_KEY, key.to_string());
+    }
+    let body = Bytes::from(vec![b'x'; route.body_bytes]);
+    request.body(Full::new(body)).ok()
+}
+
+fn reply(status: u16, headers: &HeaderMap, body_bytes: u64) -> Reply {
+    let text = |name: &str| headers.get(name).and_then(|value| value.to_str().ok());
+    Reply {
+        status,
+        code: text(header::CODE).and_then(|code| code.parse().ok()),
+        ran: text(header::RAN).map(str::to_owned),
+        is_not_run: text(header::NOT_RUN) == Some("1"),
+        body_bytes,
+    }
+}
+
+/// Reads the body without keeping it; `None` if it breaks off.
+async fn count_bytes(mut body: Incoming) -> Option<u64> {
+    let mut total = 0;
+    while let Some(frame) = body.frame().await {
+        if let Some(data) = frame.ok()?.data_ref() {
+            total += u64::try_from(data.len()).unwrap_or(0);
+        }
+    }
+    Some(total)
+}
--- /dev/null
+++ b/crates/load/src/run/compare.rs
@@ -0,0 +1,65 @@
+//! The time that an entry host adds, measured in one run.
+
+use super::report::ms;
+use super::{Alternating, Destination, Direct, RunLimits, RunReport, run_load};
+use crate::profile::Profile;
+use serde::Serialize;
+use std::net::SocketAddr;
+
+/// Both sides of a run whose requests went alternately through an entry host and directly.
+#[derive(Clone, Debug, Serialize)]
+pub struct Comparison {
+    /// Requests through entry hosts.
+    pub through: RunReport,
+    /// Requests that went directly to a target.
+    pub direct: RunReport,
+    /// Added time at the median, in microseconds; negative when the entry host was faster.
+    pub added_p50_us: i64,
+    /// Added time at the 99th percentile, in microseconds.
+    pub added_p99_us: i64,
+}
+
+impl Comparison {
+    /// Returns the comparison as Markdown.
+    #[must_use]
+    pub fn to_markdown(&self) -> String {
+        let side = |report: &RunReport| {
+            let latency = report.latency;
+            let (p50, p99) = (ms(latency.p50_us), ms(latency.p99_us));
+            format!("{} | {} | {p50:.3} | {p99:.3}", report.due, report.good)
+        };
+        format!(
+            "| Path | Due | Good | p50 ms | p99 ms |\n|---|--:|--:|--:|--:|\n\
+             | through entry hosts | {} |\n| directly | {} |\n| added | | | {:.3} | {:.3} |\n",
+            side(&self.through),
+            side(&self.direct),
+            self.added_p50_us as f64 / 1_000.0,
+            self.added_p99_us as f64 / 1_000.0
+        )
+    }
+}
+
+/// Sends one schedule alternately to both sides.
+///
+/// # Errors
+///
+/// Returns the errors of [`run_load`].
+pub async fn compare<D: Destination>(
+    profile: &Profile,
+    entry_hosts: D,
+    target: SocketAddr,
+    seed_and_rate: (u64, f64),
+    limits: RunLimits,
+) -> eyre::Result<Comparison> {
+    let destination = Alternating(entry_hosts, Direct(target));
+    let reports = run_load(profile, destination, seed_and_rate, limits, 2).await?;
+    let [through, direct] = <[RunReport; 2]>::try_from(reports)
+        .map_err(|_| eyre::eyre!("load: a comparison needs two reports"))?;
+    let added = |a: u64, b: u64| a.cast_signed() - b.cast_signed();
+    Ok(Comparison {
+        added_p50_us: added(through.latency.p50_us, direct.latency.p50_us),
+        added_p99_us: added(through.latency.p99_us, direct.latency.p99_us),
+        through,
+        direct,
+    })
+}
--- /dev/null
+++ b/crates/load/src/run/mod.rs
@@ -0,0 +1,19 @@
+//! Open-loop load over HTTP.
+
+mod address_list;
+mod client;
+mod collector;
+mod compare;
+mod destination;
+mod report;
+mod runner;
+mod schedule;
+
+pub use address_list::{AddressAnswer, AddressList};
+pub use client::{HttpClient, Reply, Sent};
+pub use collector::{Collector, Finished};
+pub use compare::{Comparison, compare};
+pub use destination::{Alternating, Destination, Direct};
+pub use report::{LatencySummary, RunReport};
+pub use runner::{RunLimits, run_load};
+pub use schedule::{Arrival, Schedule};
--- a/crates/standin-target/src/handler.rs
+++ b/crates/standin-target/src/handler.rs
@@ -150,7 +150,11 @@
         return Some(failure(&worker));
     }
     let response = good_answer(&worker, &details, body_bytes, permit);
-    tokio::time::sleep(Duration::from_millis(worker.faults().late_answer_ms)).await;
+    let late_ms = worker.faults().late_answer_ms;
+    if late_ms > 0 {
+        // A sleep of 0 ms would still wait for the runtime's next timer tick.
+        tokio::time::sleep(Duration::from_millis(late_ms)).await;
+    }
     Some(response)
 }
 
