Keep, sample, upload and explain decision records

Cause: a review needs every decision with its basis, within bounded memory and a sampled upload. Change: RecordRing keeps the newest records, pushes plain successes out first, counts losses, and hands out numbered batches that are repeated until confirmed. A request that was no plain success keeps its whole story. explain() writes sentences in the order of time. Digests are written as hexadecimal text, because a 128-bit number in the tagged event could not be read back.

--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -23,6 +23,6 @@
     Budget, Bundle, BundleVersion, Route, RouteClass, SHORTEST_STEP_MS, STEP_SHARES_PERMILLE,
     Service, VersionMove, Zone, ZoneState,
 };
-pub use wall_time::{format_wall_time, parse_wall_time};
+pub use wall_time::{format_wall_time, format_wall_time_ms, parse_wall_time};
 
 pub use heatherhinge_ini::Problem;
--- a/crates/bundle/src/wall_time.rs
+++ b/crates/bundle/src/wall_time.rs
@@ -25,8 +25,17 @@
 /// Writes a time in RFC 3339 and UTC; a time beyond year 9999 is written as milliseconds.
 #[must_use]
 pub fn format_wall_time(time: WallMs) -> String {
-    let stamp = i64::try_from(time.0)
-        .ok()
-        .and_then(|ms| Timestamp::from_millisecond(ms).ok());
-    stamp.map_or_else(|| format!("{} ms", time.0), |stamp| stamp.to_string())
+    stamp(time).map_or_else(|| format!("{} ms", time.0), |stamp| stamp.to_string())
+}
+
+/// Writes a time like [`format_wall_time`], always with three digits after the second, so that
+/// the times of a list line up.
+#[must_use]
+pub fn format_wall_time_ms(time: WallMs) -> String {
+    stamp(time).map_or_else(|| format!("{} ms", time.0), |stamp| format!("{stamp:.3}"))
+}
+
+fn stamp(time: WallMs) -> Option<Timestamp> {
+    let ms = i64::try_from(time.0).ok()?;
+    Timestamp::from_millisecond(ms).ok()
 }
--- a/crates/records/src/lib.rs
+++ b/crates/records/src/lib.rs
@@ -1,12 +1,27 @@
 //! Decision records: what a host decided, when, and on which versions of what.
 //!
 //! Every decision about a request, a move, a zone, a bundle or a host is a [`Record`]. Parts hand
-//! records to a [`RecordSink`]; where they go from there is decided by the daemon. See
-//! `docs/design.md`, section 16.
+//! records to a [`RecordSink`]; a [`QueueSink`] takes them off the path of a request, and a
+//! [`RecordRing`] keeps the newest ones and hands out batches for the object store. [`explain`]
+//! turns records of several hosts into sentences for a review. The encoding is apart from all of
+//! this, in [`json_lines`]. See `docs/design.md`, section 16.
 
 pub mod admin;
+mod batch;
+mod digest_text;
+mod explain;
+pub mod json_lines;
+mod queue;
 mod record;
+mod ring;
+mod sampler;
+mod sentence;
 mod sink;
 
+pub use batch::{BATCH_LIMIT_RECORDS, Batch};
+pub use explain::explain;
+pub use queue::{QueueSink, RecordQueue, record_queue};
 pub use record::{Record, RecordBasis, RecordEvent, Subject};
+pub use ring::RecordRing;
+pub use sampler::Sampler;
 pub use sink::{NullSink, RecordSink};
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -69,6 +69,25 @@
     }
 }
 
+impl RecordEvent {
+    /// Returns whether the event is part of a plain success, of which only a sample is kept.
+    ///
+    /// First attempts at warm targets and good answers to them are; every other event is always
+    /// kept.
+    #[must_use]
+    pub const fn is_plain_success(&self) -> bool {
+        match self {
+            Self::Chosen {
+                attempt, is_cold, ..
+            } => *attempt <= 1 && !*is_cold,
+            Self::Answered {
+                status, attempts, ..
+            } => *attempts <= 1 && *status < 500,
+            _ => false,
+        }
+    }
+}
+
 /// What was decided.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case", tag = "event")]
@@ -127,6 +146,7 @@
     WarmAnnounced { start_id: StartId },
     /// A request digest was put in quarantine.
     Quarantined {
+        #[serde(with = "crate::digest_text")]
         digest: Digest,
         until_wall_ms: WallMs,
         crashed: Vec<Name>,
@@ -148,7 +168,18 @@
     /// A zone comes back; its targets count as cold.
     ZoneBack,
     /// A bundle came into force on this host.
-    BundleInForce { version: u64, digest: Digest },
+    BundleInForce {
+        version: u64,
+        #[serde(with = "crate::digest_text")]
+        digest: Digest,
+    },
+    /// A bundle was written to the store through this host and so was accepted.
+    BundleAccepted {
+        version: u64,
+        #[serde(with = "crate::digest_text")]
+        digest: Digest,
+        key_id: Name,
+    },
     /// A bundle was refused.
     BundleRefused { code: u16, key_id: Name },
     /// The host changed its phase.
--- /dev/null
+++ b/crates/records/tests/stories.rs
@@ -0,0 +1,193 @@
+//! The sentences that explain decisions, as golden files.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use common::{START_WALL_MS, answered, chosen, record, request, waited};
+use heatherhinge_blackboard::MoveState;
+use heatherhinge_records::{Record, RecordEvent, Subject, explain, json_lines};
+use heatherhinge_types::{Digest, Name, Partition, StartId, WallMs};
+
+fn retried(target: &str) -> RecordEvent {
+    RecordEvent::Retried {
+        target: target.into(),
+        code: 1303,
+        backoff_ms: 4,
+    }
+}
+
+fn claimed() -> RecordEvent {
+    RecordEvent::Claimed {
+        partition: Partition(77),
+        owner: "entry-b".into(),
+        not_after_wall_ms: WallMs(START_WALL_MS + 90_000),
+    }
+}
+
+fn step(
+    state: MoveState,
+    share_permille: u32,
+    step: u64,
+    failed: u64,
+    reason: &str,
+) -> RecordEvent {
+    RecordEvent::MoveStep {
+        service: "orders".into(),
+        state,
+        share_permille,
+        step,
+        reason: reason.into(),
+        new_good: 300 - failed,
+        new_failed: failed,
+        old_good: 29_000,
+        old_failed: 4,
+    }
+}
+
+/// Guards against a story that is out of order, incomplete or without the versions behind it.
+#[test]
+fn request_that_was_retried() {
+    let id = request("4bf92f35");
+    let tell = |at_ms, event| record(at_ms, "entry-a", id.clone(), event);
+    insta::assert_snapshot!(explain(&[
+        tell(12, waited(12)),
+        tell(12, chosen("10.0.1.7:80", 1)),
+        tell(14, retried("10.0.1.7:80")),
+        tell(18, chosen("10.0.2.9:80", 2)),
+        tell(41, answered(200, 2)),
+    ]));
+}
+
+/// Guards against a review being unable to tell whether a refused booking ran, and against records
+/// of several hosts being told by host rather than by time, or twice.
+#[test]
+fn booking_that_was_refused() {
+    let id = request("0af76519");
+    let refused = |code| RecordEvent::Refused { code };
+    let from_a = [
+        record(0, "entry-a", id.clone(), claimed()),
+        record(1, "entry-a", id.clone(), chosen("10.0.1.7:80", 1)),
+        record(2_000, "entry-a", id.clone(), refused(1305)),
+    ];
+    let from_c = [record(2_400, "entry-c", id, refused(1105))];
+    let mut records: Vec<Record> = from_c.to_vec();
+    records.extend(from_a.clone());
+    records.extend(from_a);
+    insta::assert_snapshot!(explain(&records));
+}
+
+/// Guards against a review being unable to tell on which counts a move was taken back.
+#[test]
+fn move_that_was_taken_back() {
+    let id = Subject::Move("orders-7".into());
+    let tell = |at_ms, event| record(at_ms, "entry-b", id.clone(), event);
+    insta::assert_snapshot!(explain(&[
+        tell(
+            0,
+            step(MoveState::Waiting, 0, 0, 0, "no target of the new version")
+        ),
+        tell(
+            9_000,
+            step(MoveState::Canary, 20, 1, 0, "targets of v2 are warm")
+        ),
+        tell(
+            40_000,
+            step(MoveState::Raising, 100, 2, 0, "not worse on any route")
+        ),
+        tell(
+            71_000,
+            step(
+                MoveState::TakenBack,
+                0,
+                3,
+                41,
+                "more failures on route book"
+            )
+        ),
+    ]));
+}
+
+fn one_of_each_kind() -> Vec<Record> {
+    let digest = Digest(u128::MAX - 5);
+    let start_id = StartId(u64::MAX);
+    let name = Name::from("n");
+    let events = [
+        chosen("t", 1),
+        waited(3),
+        answered(200, 1),
+        RecordEvent::Refused { code: 9_999 },
+        retried("t"),
+        claimed(),
+        RecordEvent::Replayed {
+            partition: Partition(1),
+            owner: name.clone(),
+        },
+        RecordEvent::ColdSeen {
+            start_id,
+            reason: name.clone(),
+        },
+        RecordEvent::AllowanceSet { allowance: 2 },
+        RecordEvent::WarmAnnounced { start_id },
+        RecordEvent::Quarantined {
+            digest,
+            until_wall_ms: WallMs(START_WALL_MS),
+            crashed: vec!["t1".into(), "t2".into()],
+        },
+        step(MoveState::Late, 1_000, 9, 0, "no calls"),
+        RecordEvent::ZoneOut,
+        RecordEvent::ZoneBack,
+        RecordEvent::BundleInForce { version: 8, digest },
+        RecordEvent::BundleAccepted {
+            version: 8,
+            digest,
+            key_id: name.clone(),
+        },
+        RecordEvent::BundleRefused {
+            code: 2105,
+            key_id: name.clone(),
+        },
+        RecordEvent::HostPhase { phase: name },
+        RecordEvent::Ownership {
+            taken: 3,
+            released: 1,
+            epoch: 5,
+        },
+        RecordEvent::RecordsLost { count: 2 },
+    ];
+    let subjects = [
+        Subject::Host,
+        Subject::Bundle,
+        Subject::Zone("north".into()),
+        Subject::Target("t".into()),
+    ];
+    let subjects = subjects.into_iter().cycle();
+    events
+        .into_iter()
+        .zip(subjects)
+        .map(|(event, subject)| record(0, "entry-a", subject, event))
+        .collect()
+}
+
+/// Guards against a kind of event without a sentence.
+#[test]
+fn every_kind_has_a_sentence() {
+    let records = one_of_each_kind();
+    let text = explain(&records);
+    insta::assert_snapshot!(text);
+    assert_eq!(text.matches("Based on").count(), records.len());
+    assert!(!text.contains(": \n"));
+    assert_eq!(explain(&[]), "No record was found.\n");
+}
+
+/// Guards against a record that is written but cannot be read back, such as one with a digest, and
+/// against one cut line hiding the others.
+#[test]
+fn json_lines_are_read_back() {
+    let records = one_of_each_kind();
+    let text = json_lines::encode(&records).unwrap();
+    let read = json_lines::decode(&text);
+    assert_eq!((read.records, read.bad_lines), (records.clone(), 0));
+    let cut = json_lines::decode(&text[..text.len() - 9]);
+    assert_eq!((cut.records.len(), cut.bad_lines), (records.len() - 1, 1));
+}
