--- a/crates/controllers/src/target_warmup.rs
+++ b/crates/controllers/src/target_warmup.rs
@@ -58,10 +58,10 @@
     Warm(StartId),
 }
 
-/// Announcements of a run that are not accepted, because this host saw the run end or fail.
+/// Announcements of runs that are not accepted, because this host saw the target fail in them.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct Distrust {
-    pub(crate) run: Option<StartId>,
+    pub(crate) runs: [Option<StartId>; 2],
     pub(crate) until_ns: MonoNs,
     pub(crate) record: RecordVersion,
 }
@@ -135,7 +135,12 @@
         was_warm
     }
 
+    /// Treats a run as warm. The run known before is not retired: an announcement may be older
+    /// than what this host saw, and the next answer must still be able to correct it.
     pub(crate) fn turn_warm(&mut self, run: StartId) {
+        if self.run != Some(run) {
+            self.uptime_ms = 0;
+        }
         self.phase = WarmupPhase::Warm(run);
         self.run = Some(run);
         self.unannounced_since_ns = None;
--- a/crates/controllers/src/warm_announcements.rs
+++ b/crates/controllers/src/warm_announcements.rs
@@ -56,13 +56,9 @@
         return;
     };
     if let Some(heard) = heard.filter(|heard| is_accepted(target, heard, zone_since, now)) {
-        let run = heard.warm.start_id;
-        let fresh = target.see_run(run, 0).is_some();
-        if fresh {
-            target.turn_warm(run);
-            target.distrust = None;
-            target.announced_by = Some((owner.host.clone(), record.version.incarnation));
-        }
+        target.turn_warm(heard.warm.start_id);
+        target.distrust = None;
+        target.announced_by = Some((owner.host.clone(), record.version.incarnation));
         return;
     }
     if !target.is_warm() || heard.is_some_and(|_| target.distrust.is_some()) {
@@ -87,7 +83,7 @@
     now: Now,
 ) -> bool {
     let is_distrusted = target.distrust.is_some_and(|distrust| {
-        distrust.run.is_none_or(|run| run == heard.warm.start_id)
+        (distrust.runs.contains(&Some(heard.warm.start_id)) || distrust.runs == [None; 2])
             && (now.mono_ns < distrust.until_ns || heard.record <= distrust.record)
     });
     !is_distrusted && !target.is_retired(heard.warm.start_id) && heard.warm.zone_since >= zone_since
--- a/crates/controllers/src/warmup.rs
+++ b/crates/controllers/src/warmup.rs
@@ -158,8 +158,8 @@
         let Some(target) = self.targets.get(&name) else {
             return;
         };
-        let is_old = run.is_some_and(|run| target.run().is_some_and(|known| known != run));
-        if is_old {
+        // The loss of a run that has ended is known; of any other run it is evidence.
+        if run.is_some_and(|run| target.is_retired(run)) {
             return;
         }
         let report = ColdReport {
@@ -177,7 +177,7 @@
         let known = target.run();
         let is_news = match (report.new_run, report.lost_run) {
             (Some(new), _) => known != Some(new) && target.see_run(new, 0).is_some(),
-            (None, Some(lost)) => known.is_none_or(|known| known == lost),
+            (None, Some(lost)) => !target.is_retired(lost),
             (None, None) => true,
         };
         if is_news {
@@ -199,10 +199,11 @@
         };
         let owners = board.owners.read();
         let owner = owners.value.owner(target.partition);
+        let known = target.run().filter(|_| report.new_run.is_none());
         let was_warm = target.turn_cold();
         let owner_record = owner.and_then(|owner| record_of_host(board, &owner.host));
         target.distrust = Some(Distrust {
-            run: report.lost_run,
+            runs: [report.lost_run, known],
             until_ns: now.mono_ns.plus_ms(REPORT_ROUND_MS),
             record: owner_record.map_or(RecordVersion::default(), |record| record.version),
         });
--- a/crates/controllers/tests/warmup.rs
+++ b/crates/controllers/tests/warmup.rs
@@ -190,6 +190,7 @@
 #[test]
 fn lease_end_and_peer_reports() {
     let mut bench = Bench::new(0);
+    bench.answer(5, AnswerKind::Good, 6, 4_000);
     bench.answer(10, AnswerKind::Good, 7, 4_000);
     let report = |lost, new| {
         WarmupEvent::Reported(ColdReport {
