Add the zone and drain controllers

Cause: zones that operators take out must get no work, their return must count as cold, and a planned stop must cut no request. Change: one state machine for each zone, whose version tells the warmup controller which announcements are too old, and one for the stop, which releases partitions after the last request.

--- /dev/null
+++ b/crates/controllers/src/drain.rs
@@ -0,0 +1,139 @@
+//! Stops a host without cutting a request; `docs/design.md`, section 13, and
+//! `docs/controllers/drain.md`.
+
+use crate::Controller;
+use crate::drain_machine::{DrainInput, DrainMachine, State};
+use crate::recording::record_of;
+use heatherhinge_blackboard::{Blackboard, HostPhase};
+use heatherhinge_records::{Record, RecordEvent, Subject};
+use heatherhinge_types::{MonoNs, Name, Now};
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+use std::sync::atomic::Ordering;
+
+/// Added to the time that callers keep address answers, for the news to reach the peers.
+const SPREAD_MS: u64 = 1_000;
+/// Longest wait for the release of the partitions; after it the lease runs out by itself.
+const RELEASE_MS: u64 = 5_000;
+
+/// What the drain controller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum DrainEvent {
+    /// The host has a bundle and may serve.
+    Ready,
+    /// The host was told to stop, by SIGTERM.
+    Stop,
+    /// The partitions are released and their claims handed over.
+    Released,
+    /// Time passed.
+    Tick,
+}
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum DrainEffect {
+    /// Publish a record that says that callers must not be sent here.
+    StopNaming,
+    /// Close the listener and answer with `Connection: close` from now on.
+    CloseListener,
+    /// Release the partitions and hand over their claims, then report
+    /// [`DrainEvent::Released`].
+    ReleasePartitions,
+    /// Exit with status 0.
+    Exit,
+    /// Keep a decision record.
+    Record(Box<Record>),
+}
+
+/// Times of a planned stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct DrainLimits {
+    /// Time for which callers keep an address answer, in milliseconds.
+    pub keep_ms: u64,
+    /// Longest wait for requests in flight, in milliseconds; `None` waits without limit.
+    pub in_flight_ms: Option<u64>,
+}
+
+/// Carries out a planned stop.
+pub struct DrainController {
+    machine: StateMachine<DrainMachine>,
+    limits: DrainLimits,
+    since_ns: MonoNs,
+}
+
+impl DrainController {
+    /// Makes the controller.
+    #[must_use]
+    pub fn new(limits: DrainLimits) -> Self {
+        Self {
+            machine: DrainMachine.state_machine(),
+            limits,
+            since_ns: MonoNs(0),
+        }
+    }
+
+    fn input(&self, board: &Blackboard, event: DrainEvent, now: Now) -> Option<DrainInput> {
+        let waited_ms = now.mono_ns.ms_since(self.since_ns);
+        match (self.machine.state(), event) {
+            (State::Serving {}, DrainEvent::Stop) => Some(DrainInput::Stop),
+            (State::Releasing {}, DrainEvent::Released) => Some(DrainInput::Released),
+            (State::Leaving {}, _) => {
+                (waited_ms >= self.limits.keep_ms + SPREAD_MS).then_some(DrainInput::Unnamed)
+            }
+            (State::Draining {}, _) => {
+                let is_empty = board.counters.in_flight.load(Ordering::Acquire) == 0;
+                let is_late = self
+                    .limits
+                    .in_flight_ms
+                    .is_some_and(|limit| waited_ms >= limit);
+                (is_empty || is_late).then_some(DrainInput::Empty)
+            }
+            (State::Releasing {}, _) => (waited_ms >= RELEASE_MS).then_some(DrainInput::Released),
+            _ => None,
+        }
+    }
+
+    /// What entering the present state asks for.
+    fn entered(&self, board: &Blackboard, now: Now) -> Vec<DrainEffect> {
+        let status = &board.counters.status;
+        let (phase, effect, name) = match self.machine.state() {
+            State::Serving {} => return Vec::new(),
+            State::Leaving {} => (HostPhase::Leaving, DrainEffect::StopNaming, "leaving"),
+            State::Draining {} => (HostPhase::Draining, DrainEffect::CloseListener, "draining"),
+            State::Releasing {} => (
+                HostPhase::Draining,
+                DrainEffect::ReleasePartitions,
+                "releasing",
+            ),
+            State::Stopped {} => (HostPhase::Draining, DrainEffect::Exit, "stopped"),
+        };
+        status.set_phase(phase);
+        let event = RecordEvent::HostPhase {
+            phase: Name::from(name),
+        };
+        // The record comes first, so that it is kept before the process exits.
+        let record = record_of(board, now, Subject::Host, event);
+        vec![DrainEffect::Record(record), effect]
+    }
+}
+
+impl Controller for DrainController {
+    type Event = DrainEvent;
+    type Effect = DrainEffect;
+
+    fn step(&mut self, board: &Blackboard, event: DrainEvent, now: Now) -> Vec<DrainEffect> {
+        let status = &board.counters.status;
+        if event == DrainEvent::Ready && status.phase() == HostPhase::Starting {
+            status.set_phase(HostPhase::Serving);
+        }
+        let Some(input) = self.input(board, event, now) else {
+            return Vec::new();
+        };
+        let before = self.machine.state().clone();
+        self.machine.handle(&input);
+        if *self.machine.state() == before {
+            return Vec::new();
+        }
+        self.since_ns = now.mono_ns;
+        self.entered(board, now)
+    }
+}
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,6 +5,8 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod controller;
+mod drain;
+mod drain_machine;
 mod recording;
 mod target_warmup;
 mod targets;
@@ -12,10 +14,14 @@
 mod warm_announcements;
 mod warmup;
 mod warmup_event;
+mod zone_machine;
+mod zones;
 
 pub use controller::Controller;
+pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
 pub use tenures::Tenures;
 pub use warmup::WarmupController;
 pub use warmup_event::{ColdReport, WarmupEffect, WarmupEvent, is_news};
+pub use zones::{ZoneController, ZoneEffect, ZoneEvent};
--- a/crates/controllers/src/tenures.rs
+++ b/crates/controllers/src/tenures.rs
@@ -50,12 +50,17 @@
         changed
     }
 
+    /// Returns whether the row last read names this host, whether or not its lease is valid.
+    #[must_use]
+    pub fn is_own(&self, partition: Partition) -> bool {
+        self.tenures.get(&partition).is_some_and(|t| t.is_own)
+    }
+
     /// Returns whether this host owns the partition under a valid lease, in the tenure that was
     /// last read. A tenure that is not yet read counts as not held.
     #[must_use]
     pub fn holds(&self, board: &Blackboard, partition: Partition, now: Now) -> bool {
-        self.tenures.get(&partition).is_some_and(|t| t.is_own)
-            && board.owners.read().value.holds(&board.host, partition, now)
+        self.is_own(partition) && board.owners.read().value.holds(&board.host, partition, now)
     }
 
     /// Returns whether requests of the earlier owner may still be in flight, given the longest
--- a/crates/controllers/src/warmup.rs
+++ b/crates/controllers/src/warmup.rs
@@ -32,6 +32,7 @@
     tenures: Tenures,
     bundle: BundleVersion,
     zone_since: BTreeMap<Name, BundleVersion>,
+    returned: BTreeMap<Name, BundleVersion>,
     announced: Vec<WarmTarget>,
     is_cut_off: bool,
     refreshed_ns: MonoNs,
@@ -71,6 +72,7 @@
             tenures: Tenures::default(),
             bundle: BundleVersion::default(),
             zone_since: BTreeMap::new(),
+            returned: BTreeMap::new(),
             announced: Vec::new(),
             is_cut_off: false,
             refreshed_ns: MonoNs(0),
@@ -246,7 +248,7 @@
                 target.turn_cold(); // A new owner starts again at 1.
             }
             if !holds {
-                let since = self.zone_since.get(&target.zone).copied();
+                let since = self.returned.get(&target.zone).copied();
                 hear(
                     board,
                     target,
@@ -276,17 +278,25 @@
         }
     }
 
-    /// Targets of a zone that comes back count as cold, whatever was announced before.
+    /// Targets of a zone that comes back count as cold, whatever was announced before. A change
+    /// without a return means that this host may have missed one: then only what it announces
+    /// itself is in doubt.
     fn refresh_zones(&mut self, board: &Blackboard) {
         let zones = board.zones.read();
         for (zone, entry) in &zones.value.zones {
-            let known = self.zone_since.get(zone).copied().unwrap_or_default();
-            if entry.phase != ZonePhase::Returning || entry.since <= known {
+            let before = self.zone_since.insert(zone.clone(), entry.since);
+            let is_return = entry.phase == ZonePhase::Returning;
+            let is_new = before.map_or(is_return, |before| entry.since > before);
+            if !is_new || entry.phase == ZonePhase::Out {
                 continue;
             }
-            self.zone_since.insert(zone.clone(), entry.since);
+            if is_return {
+                self.returned.insert(zone.clone(), entry.since);
+            }
             for target in self.targets.values_mut().filter(|t| t.zone == *zone) {
-                target.turn_cold();
+                if is_return || self.tenures.is_own(target.partition) {
+                    target.turn_cold();
+                }
             }
         }
     }
--- /dev/null
+++ b/crates/controllers/src/zones.rs
@@ -0,0 +1,137 @@
+//! Applies the zones of the bundle in force.
+//!
+//! It is the only writer of the `zones` entry; `docs/design.md`, section 11, and
+//! `docs/controllers/zones.md`.
+
+use crate::Controller;
+use crate::recording::record_of;
+use crate::zone_machine::{ZoneInput, ZoneMachine};
+use heatherhinge_blackboard::{Blackboard, Writer, ZoneEntry, ZonePhase, ZoneTable};
+use heatherhinge_bundle::{BundleVersion, ZoneState};
+use heatherhinge_records::{Record, RecordEvent, Subject};
+use heatherhinge_types::{MonoNs, Name, Now};
+use statig::blocking::{IntoStateMachineExt, StateMachine};
+use std::collections::BTreeMap;
+
+/// Time after which a zone that came back is shown as in. Its targets stay cold until they are
+/// announced warm, however long that takes.
+const RETURN_MS: u64 = 60_000;
+
+/// What the zone controller is told.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum ZoneEvent {
+    /// Time passed or the bundle changed.
+    Tick,
+}
+
+/// What the daemon has to do.
+#[derive(Clone, Debug, PartialEq)]
+pub enum ZoneEffect {
+    /// Keep a decision record.
+    Record(Box<Record>),
+}
+
+struct KnownZone {
+    machine: StateMachine<ZoneMachine>,
+    since: BundleVersion,
+    changed_ns: MonoNs,
+}
+
+/// Keeps the zone table.
+pub struct ZoneController {
+    writer: Writer<ZoneTable>,
+    zones: BTreeMap<Name, KnownZone>,
+    bundle: BundleVersion,
+}
+
+impl ZoneController {
+    /// Makes the controller from the one writer of the zones entry.
+    #[must_use]
+    pub fn new(writer: Writer<ZoneTable>) -> Self {
+        Self {
+            writer,
+            zones: BTreeMap::new(),
+            bundle: BundleVersion::default(),
+        }
+    }
+
+    fn apply(
+        &mut self,
+        board: &Blackboard,
+        name: &Name,
+        wanted: ZoneState,
+        version: BundleVersion,
+        now: Now,
+    ) -> Option<ZoneEffect> {
+        // A host that missed a version cannot tell whether the zone was out meanwhile.
+        let has_gap = version.0 > self.bundle.0 + 1;
+        let zone = self.zones.entry(name.clone()).or_insert_with(|| KnownZone {
+            machine: ZoneMachine.state_machine(),
+            since: version,
+            changed_ns: now.mono_ns,
+        });
+        let before = zone.machine.state().phase();
+        zone.machine.handle(&ZoneInput::Wanted(wanted));
+        let phase = zone.machine.state().phase();
+        if phase == before {
+            if has_gap && phase != ZonePhase::Out {
+                zone.since = version;
+            }
+            return None;
+        }
+        zone.since = version;
+        zone.changed_ns = now.mono_ns;
+        let event = if phase == ZonePhase::Out {
+            RecordEvent::ZoneOut
+        } else {
+            RecordEvent::ZoneBack
+        };
+        let record = record_of(board, now, Subject::Zone(name.clone()), event);
+        Some(ZoneEffect::Record(record))
+    }
+
+    fn take_bundle(&mut self, board: &Blackboard, now: Now) -> Vec<ZoneEffect> {
+        let bundle = board.bundle.read_owned();
+        let Some(bundle) = bundle.value.as_ref().filter(|b| b.version > self.bundle) else {
+            return Vec::new();
+        };
+        self.zones.retain(|name, _| bundle.zones.contains_key(name));
+        let mut effects = Vec::new();
+        for (name, zone) in &bundle.zones {
+            effects.extend(self.apply(board, name, zone.state, bundle.version, now));
+        }
+        self.bundle = bundle.version;
+        effects
+    }
+
+    fn settle(&mut self, now: Now) {
+        for zone in self.zones.values_mut() {
+            if now.mono_ns >= zone.changed_ns.plus_ms(RETURN_MS) {
+                zone.machine.handle(&ZoneInput::Settled);
+            }
+        }
+    }
+}
+
+impl Controller for ZoneController {
+    type Event = ZoneEvent;
+    type Effect = ZoneEffect;
+
+    fn step(&mut self, board: &Blackboard, event: ZoneEvent, now: Now) -> Vec<ZoneEffect> {
+        let ZoneEvent::Tick = event;
+        let effects = self.take_bundle(board, now);
+        self.settle(now);
+        let entries = self.zones.iter().map(|(name, zone)| {
+            let entry = ZoneEntry {
+                phase: zone.machine.state().phase(),
+                since: zone.since,
+            };
+            (name.clone(), entry)
+        });
+        let table = ZoneTable {
+            zones: entries.collect(),
+        };
+        self.writer.publish_if_changed(table);
+        effects
+    }
+}
