Hold back requests that crash targets

Cause: a request that crashes each target that runs it is sent again by its caller through any host. Change: the owner of the digest's partition counts distinct runs of targets since the last success, spreads the quarantine and answers the second report only when its peers have confirmed, so that the caller cannot find a host that does not know. The quarantine table lists suspects, whose next success clears the count.

--- a/crates/blackboard/src/quarantine_table.rs
+++ b/crates/blackboard/src/quarantine_table.rs
@@ -1,13 +1,16 @@
 //! Requests that are held back because they crashed targets.
 
 use heatherhinge_types::{Digest, WallMs};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Digests that are held back, each with the end of its quarantine.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct QuarantineTable {
     /// End of the quarantine by digest.
     pub until_wall_ms: BTreeMap<Digest, WallMs>,
+    /// Digests whose crash this host reported. The next success of such a request must be
+    /// reported too, because it clears the count.
+    pub suspects: BTreeSet<Digest>,
 }
 
 impl QuarantineTable {
@@ -18,4 +21,10 @@
             .get(&digest)
             .is_some_and(|until| now_wall_ms < *until)
     }
+
+    /// Returns whether a success of a request with this digest must be reported.
+    #[must_use]
+    pub fn is_suspect(&self, digest: Digest) -> bool {
+        self.suspects.contains(&digest)
+    }
 }
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,8 +5,11 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod controller;
+mod crash_counts;
 mod drain;
 mod drain_machine;
+mod quarantine;
+mod quarantine_event;
 mod recording;
 mod target_warmup;
 mod targets;
@@ -19,6 +22,10 @@
 
 pub use controller::Controller;
 pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
+pub use quarantine::QuarantineController;
+pub use quarantine_event::{
+    CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
+};
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
 pub use tenures::Tenures;
