--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,6 +5,11 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod controller;
+mod crash_counts;
+mod drain;
+mod drain_machine;
+mod quarantine;
+mod quarantine_event;
 mod recording;
 mod target_warmup;
 mod targets;
@@ -12,10 +17,18 @@
 mod warm_announcements;
 mod warmup;
 mod warmup_event;
+mod zone_machine;
+mod zones;
 
 pub use controller::Controller;
+pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
+pub use quarantine::QuarantineController;
+pub use quarantine_event::{
+    CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
+};
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
 pub use tenures::Tenures;
 pub use warmup::WarmupController;
 pub use warmup_event::{ColdReport, WarmupEffect, WarmupEvent, is_news};
+pub use zones::{ZoneController, ZoneEffect, ZoneEvent};
