Carry the owner's decision on a crash and quarantines in the peer protocol

Cause: the quarantine controller answers each crash report with a decision and sends quarantines to peers at once; the protocol carried neither. A cold report lacked the run that ended. Change: report_crash answers with the decision, hold_back is new, and the cold report names the lost and the new run. Result: the contract tests of the protocol pass unchanged but for the new fields. Conclusion: none beyond the contract.

--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -2,9 +2,9 @@
 
 use crate::connection::Connection;
 use crate::service::PeerServiceClient;
-use crate::{ColdReport, CrashReport, PeerError, Peers};
+use crate::{ColdReport, CrashAnswer, CrashReport, PeerError, Peers};
 use arc_swap::ArcSwap;
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
 use heatherhinge_types::Digest;
 use std::collections::BTreeMap;
@@ -111,13 +111,25 @@
         addr: SocketAddr,
         report: CrashReport,
         deadline_ms: u64,
-    ) -> Result<(), PeerError> {
+    ) -> Result<CrashAnswer, PeerError> {
         let call = |stub: PeerServiceClient, context| async move {
             stub.report_crash(context, report).await
         };
         self.connection(addr).call(deadline_ms, call).await
     }
 
+    async fn hold_back(
+        &self,
+        addr: SocketAddr,
+        quarantine: Quarantine,
+        deadline_ms: u64,
+    ) -> Result<(), PeerError> {
+        let call = |stub: PeerServiceClient, context| async move {
+            stub.hold_back(context, quarantine).await
+        };
+        self.connection(addr).call(deadline_ms, call).await
+    }
+
     async fn report_success(
         &self,
         addr: SocketAddr,
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -1,7 +1,7 @@
 //! What a host answers to other hosts.
 
-use crate::{ColdReport, CrashReport};
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use crate::{ColdReport, CrashAnswer, CrashReport};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
 use heatherhinge_types::Digest;
 use std::future::Future;
@@ -19,7 +19,10 @@
     fn exchange(&self, request: ExchangeRequest) -> impl Future<Output = ExchangeAnswer> + Send;
 
     /// Counts a crash against the digest of the request that a target was running.
-    fn report_crash(&self, report: CrashReport) -> impl Future<Output = ()> + Send;
+    fn report_crash(&self, report: CrashReport) -> impl Future<Output = CrashAnswer> + Send;
+
+    /// Holds back the requests of a quarantine from now on.
+    fn hold_back(&self, quarantine: Quarantine) -> impl Future<Output = ()> + Send;
 
     /// Clears the crashes counted against a digest.
     fn report_success(&self, digest: Digest) -> impl Future<Output = ()> + Send;
--- a/crates/peer/src/lib.rs
+++ b/crates/peer/src/lib.rs
@@ -19,6 +19,6 @@
 pub use codec::MAX_FRAME_BYTES;
 pub use error::PeerError;
 pub use handler::PeerHandler;
-pub use message::{ColdReport, CrashReport};
+pub use message::{ColdReport, CrashAnswer, CrashReport};
 pub use peers::Peers;
 pub use server::{PeerServer, PeerServerHandle};
--- a/crates/peer/src/message.rs
+++ b/crates/peer/src/message.rs
@@ -1,17 +1,35 @@
 //! Messages that have no home in a decision crate.
 
-use heatherhinge_types::{Digest, Name, StartId};
+use heatherhinge_types::{Digest, Name, StartId, WallMs};
 use serde::{Deserialize, Serialize};
 
 /// Tells the owner of a request digest that a target crashed while it ran such a request.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct CrashReport {
+    /// The reporting host.
+    pub from: Name,
+    /// Number of the report on that host.
+    pub number: u64,
     /// Digest of the request.
     pub digest: Digest,
     /// Name of the target.
     pub target: Name,
-    /// The run of the target that ended.
-    pub start_id: StartId,
+    /// The run of the target that ended, if it was known.
+    pub start_id: Option<StartId>,
+}
+
+/// What the owner decided on a crash report.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum CrashAnswer {
+    /// The crash is counted; the request is not held back.
+    Counted,
+    /// Requests with the digest are held back.
+    Quarantined {
+        /// End of the quarantine.
+        until_wall_ms: WallMs,
+    },
+    /// The host asked does not own the partition.
+    NotOwner,
 }
 
 /// Tells the owner of a target that the target was seen cold.
@@ -19,6 +37,8 @@
 pub struct ColdReport {
     /// Name of the target.
     pub target: Name,
-    /// The run that was seen.
-    pub start_id: StartId,
+    /// The run that ended or that refused a connection, if it was known.
+    pub lost_run: Option<StartId>,
+    /// The run that was seen instead, if an answer named one.
+    pub new_run: Option<StartId>,
 }
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -1,7 +1,7 @@
 //! What a host asks of other hosts.
 
-use crate::{ColdReport, CrashReport, PeerError};
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use crate::{ColdReport, CrashAnswer, CrashReport, PeerError};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
 use heatherhinge_types::Digest;
 use std::future::Future;
@@ -41,6 +41,14 @@
         addr: SocketAddr,
         report: CrashReport,
         deadline_ms: u64,
+    ) -> impl Future<Output = Result<CrashAnswer, PeerError>> + Send;
+
+    /// Tells a host to hold back the requests of a quarantine, and waits until it does.
+    fn hold_back(
+        &self,
+        addr: SocketAddr,
+        quarantine: Quarantine,
+        deadline_ms: u64,
     ) -> impl Future<Output = Result<(), PeerError>> + Send;
 
     /// Reports to the owner of a digest that such a request got a good answer.
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -1,7 +1,7 @@
 //! The calls as `tarpc` sees them.
 
-use crate::{ColdReport, CrashReport, PeerHandler};
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use crate::{ColdReport, CrashAnswer, CrashReport, PeerHandler};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
 use heatherhinge_types::Digest;
 use std::sync::Arc;
@@ -14,11 +14,12 @@
     async fn claim(request: ClaimRequest) -> ClaimAnswer;
     async fn settle(settlement: Settlement) -> SettleAnswer;
     async fn exchange(request: ExchangeRequest) -> ExchangeAnswer;
-    async fn report_crash(report: CrashReport);
+    async fn report_crash(report: CrashReport) -> CrashAnswer;
     async fn report_success(digest: Digest);
     async fn hand_over(handed: HandedPartition) -> bool;
     async fn fetch_bundle(version: u64) -> Option<Vec<u8>>;
     async fn cold_seen(report: ColdReport);
+    async fn hold_back(quarantine: Quarantine);
 }
 
 /// Passes each call on to the handler of this host.
@@ -44,8 +45,12 @@
         self.0.exchange(request).await
     }
 
-    async fn report_crash(self, _: Context, report: CrashReport) {
-        self.0.report_crash(report).await;
+    async fn report_crash(self, _: Context, report: CrashReport) -> CrashAnswer {
+        self.0.report_crash(report).await
+    }
+
+    async fn hold_back(self, _: Context, quarantine: Quarantine) {
+        self.0.hold_back(quarantine).await;
     }
 
     async fn report_success(self, _: Context, digest: Digest) {
--- a/crates/peer/tests/faults.rs
+++ b/crates/peer/tests/faults.rs
@@ -2,13 +2,13 @@
 
 #![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
 
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{
     AttemptId, ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement, TenureId,
 };
 use heatherhinge_peer::{
-    ColdReport, CrashReport, MAX_FRAME_BYTES, PeerClient, PeerError, PeerHandler, PeerServer,
-    PeerServerHandle, Peers,
+    ColdReport, CrashAnswer, CrashReport, MAX_FRAME_BYTES, PeerClient, PeerError, PeerHandler,
+    PeerServer, PeerServerHandle, Peers,
 };
 use heatherhinge_types::{Digest, Name, Partition, RequestKey, WallMs};
 use std::net::SocketAddr;
@@ -59,7 +59,10 @@
             records: Vec::new(),
         }
     }
-    async fn report_crash(&self, _: CrashReport) {}
+    async fn report_crash(&self, _: CrashReport) -> CrashAnswer {
+        CrashAnswer::Counted
+    }
+    async fn hold_back(&self, _: Quarantine) {}
     async fn report_success(&self, _: Digest) {}
     async fn hand_over(&self, _: HandedPartition) -> bool {
         self.parts.fetch_add(1, Ordering::SeqCst);
@@ -222,7 +225,8 @@
         let client = PeerClient::new();
         let huge = ColdReport {
             target: Name::from("x".repeat(MAX_FRAME_BYTES)),
-            start_id: heatherhinge_types::StartId(1),
+            lost_run: None,
+            new_run: None,
         };
         let sent = client.cold_seen(server.addr(), huge, LONG_MS).await;
         assert_eq!(sent, Err(PeerError::TooLarge));
