--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -4,13 +4,22 @@
 //! and the time. It does no input or output: [`Controller::step`] returns what the daemon has to
 //! do next. See `docs/design.md`, sections 4 and 5.
 
+mod address_book;
+mod bundle_event;
+mod bundle_spread;
 mod controller;
 mod crash_counts;
 mod drain;
 mod drain_machine;
+mod freshness;
+mod membership;
+mod membership_event;
+mod pause;
+mod peer_state;
 mod quarantine;
 mod quarantine_event;
 mod recording;
+mod rotation;
 mod target_warmup;
 mod targets;
 mod tenures;
@@ -20,8 +29,13 @@
 mod zone_machine;
 mod zones;
 
+pub use address_book::{ADDRESS_KEEP_MS, AddressAnswer, AddressBook, HostAddress};
+pub use bundle_event::{BundleEffect, BundleEvent, BundleSource, CurrentRow, PeerContact};
+pub use bundle_spread::BundleController;
 pub use controller::Controller;
 pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
+pub use membership::{MembershipController, MembershipSettings};
+pub use membership_event::{ExchangeTicket, ListedHost, MembershipEffect, MembershipEvent};
 pub use quarantine::QuarantineController;
 pub use quarantine_event::{
     CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
