Compare the policies and the retry rules in virtual time

Cause: the policies for choosing a target and the retry budget had no figures against the baselines. Change: heatherhinge-load experiment policy and experiment retry. Each entry host has its own blackboard cells, wait queue and retry budget and takes its decisions with the crate policy; targets are small queues with slots. All cases of a seed share arrivals, service times and faults.

--- /dev/null
+++ b/crates/load/src/experiment/fleet.rs
@@ -0,0 +1,53 @@
+//! Sizes of today's users.
+
+/// Targets, hosts and distances of one user.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// Name of the user.
+    pub name: &'static str,
+    /// Targets of the service.
+    pub targets: usize,
+    /// Requests that one target runs at once.
+    pub slots: u32,
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Availability zones; hosts and targets are given to them in turn.
+    pub zones: usize,
+    /// Time one way between two zones, in microseconds.
+    pub between_zones_us: u64,
+}
+
+/// Time one way within a zone, in microseconds; a figure for one switch in between.
+const WITHIN_ZONE_US: u64 = 100;
+
+impl Fleet {
+    /// Vatuwaqa's Orders service.
+    pub const VATUWAQA: Self = Self {
+        name: "vatuwaqa",
+        targets: 25,
+        slots: 5,
+        hosts: 16,
+        zones: 3,
+        between_zones_us: 1_000,
+    };
+
+    /// Kozhikode's Booking service.
+    pub const KOZHIKODE: Self = Self {
+        name: "kozhikode",
+        targets: 30,
+        slots: 4,
+        hosts: 16,
+        zones: 4,
+        between_zones_us: 500,
+    };
+
+    /// Returns the time one way between a host and a target, in nanoseconds.
+    #[must_use]
+    pub const fn one_way_ns(&self, host: usize, target: usize) -> u64 {
+        if host % self.zones == target % self.zones {
+            WITHIN_ZONE_US * 1_000
+        } else {
+            self.between_zones_us * 1_000
+        }
+    }
+}
--- /dev/null
+++ b/crates/load/src/experiment/retry.rs
@@ -0,0 +1,187 @@
+//! Compares rules for retries in an outage of half the targets.
+
+use super::{
+    Budgeted, Fault, Fleet, NoRetry, RetryRule, Scenario, Slice, Tally, ThreeAtOnce, parallel,
+    simulate,
+};
+use crate::plot::{Line, Plot};
+use heatherhinge_policy::{Picker, Random, Weighted};
+use serde::Serialize;
+use std::fmt::Write as _;
+
+/// Load of the experiment, in thousandths of all slots.
+const LOAD_PERMILLE: u64 = 600;
+
+/// The result of one rule.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RetryRow {
+    /// Name of the user.
+    pub fleet: &'static str,
+    /// Name of the policy for choosing a target.
+    pub policy: &'static str,
+    /// Name of the rule.
+    pub rule: &'static str,
+    /// Attempts for each thousand requests that arrived during the outage.
+    pub attempts_permille_during: u64,
+    /// Requests that arrived during the outage and were answered well, in thousandths.
+    pub goodput_permille_during: u64,
+    /// The same for requests that arrived in the 2 s after the outage.
+    pub goodput_permille_after: u64,
+    /// The same for requests that arrived later.
+    pub goodput_permille_later: u64,
+    /// Requests answered well, by the second of their arrival, in thousandths.
+    pub goodput_permille_by_s: Vec<u64>,
+}
+
+/// All rows of the experiment.
+#[derive(Clone, Debug, PartialEq, Serialize)]
+pub struct RetryReport {
+    /// Seed.
+    pub seed: u64,
+    /// Virtual time of each case in seconds; the outage is the middle third.
+    pub duration_s: u64,
+    /// Rows by fleet, policy and rule.
+    pub rows: Vec<RetryRow>,
+}
+
+type CaseFn = fn(&Fleet, &Scenario, u64) -> eyre::Result<Tally>;
+
+type Case = (Fleet, &'static str, &'static str, CaseFn);
+
+fn case<P: Picker + Default, T: RetryRule + Default>(
+    fleet: &Fleet,
+    scenario: &Scenario,
+    seed: u64,
+) -> eyre::Result<Tally> {
+    simulate::<P, T>(fleet, scenario, T::default(), seed)
+}
+
+/// Runs all rules with the best policy and with a random choice. The same arguments give the same
+/// report.
+///
+/// # Errors
+///
+/// Returns the errors of [`simulate`].
+pub fn run_retry_experiment(seed: u64, duration_s: u64) -> eyre::Result<RetryReport> {
+    let scenario = Scenario::new("outage", LOAD_PERMILLE, Fault::Outage, duration_s);
+    let mut cases: Vec<Case> = Vec::new();
+    for fleet in [Fleet::VATUWAQA, Fleet::KOZHIKODE] {
+        cases.extend([
+            (
+                fleet,
+                "weighted",
+                "none",
+                case::<Weighted, NoRetry> as CaseFn,
+            ),
+            (
+                fleet,
+                "weighted",
+                "3 at once",
+                case::<Weighted, ThreeAtOnce> as CaseFn,
+            ),
+            (
+                fleet,
+                "weighted",
+                "budget",
+                case::<Weighted, Budgeted> as CaseFn,
+            ),
+            (fleet, "random", "none", case::<Random, NoRetry> as CaseFn),
+            (
+                fleet,
+                "random",
+                "3 at once",
+                case::<Random, ThreeAtOnce> as CaseFn,
+            ),
+            (
+                fleet,
+                "random",
+                "budget",
+                case::<Random, Budgeted> as CaseFn,
+            ),
+        ]);
+    }
+    let rows = parallel::map(&cases, |(fleet, policy, rule, run)| {
+        let tally = run(fleet, &scenario, seed)?;
+        Ok(row(fleet.name, policy, rule, &tally, &scenario))
+    })?;
+    Ok(RetryReport {
+        seed,
+        duration_s,
+        rows,
+    })
+}
+
+fn row(
+    fleet: &'static str,
+    policy: &'static str,
+    rule: &'static str,
+    tally: &Tally,
+    scenario: &Scenario,
+) -> RetryRow {
+    let (from_ns, to_ns) = scenario.fault_span_ns();
+    let second = |ns: u64| usize::try_from(ns / 1_000_000_000).unwrap_or(usize::MAX);
+    let (from_s, to_s) = (second(from_ns), second(to_ns));
+    let during = tally.total(from_s, to_s);
+    RetryRow {
+        fleet,
+        policy,
+        rule,
+        attempts_permille_during: during.attempts * 1_000 / during.requests.max(1),
+        goodput_permille_during: goodput(&during),
+        goodput_permille_after: goodput(&tally.total(to_s, to_s + 2)),
+        goodput_permille_later: goodput(&tally.total(to_s + 2, usize::MAX)),
+        goodput_permille_by_s: tally.slices.iter().map(goodput).collect(),
+    }
+}
+
+fn goodput(slice: &Slice) -> u64 {
+    slice.good * 1_000 / slice.requests.max(1)
+}
+
+impl RetryReport {
+    /// Returns the report as a Markdown table.
+    #[must_use]
+    pub fn to_markdown(&self) -> String {
+        let mut text = "| User | Policy | Retries | Attempts per request during the outage | \
+                        Good during, % | Good in the 2 s after, % | Good later, % |\n\
+                        |---|---|---|--:|--:|--:|--:|\n"
+            .to_owned();
+        for row in &self.rows {
+            let percent = |permille: u64| permille as f64 / 10.0;
+            let _ = writeln!(
+                text,
+                "| {} | {} | {} | {:.2} | {:.1} | {:.1} | {:.1} |",
+                row.fleet,
+                row.policy,
+                row.rule,
+                row.attempts_permille_during as f64 / 1_000.0,
+                percent(row.goodput_permille_during),
+                percent(row.goodput_permille_after),
+                percent(row.goodput_permille_later)
+            );
+        }
+        text
+    }
+
+    /// Returns a plot of the goodput of one fleet by second.
+    #[must_use]
+    pub fn plot(&self, fleet: &str) -> Plot {
+        let rows = || self.rows.iter().filter(|row| row.fleet == fleet);
+        let seconds = rows().map(|row| row.goodput_permille_by_s.len()).max();
+        Plot {
+            title: format!("{fleet}: requests answered well, by the second of their arrival"),
+            unit: "%".to_owned(),
+            labels: (0..seconds.unwrap_or(0)).map(|s| s.to_string()).collect(),
+            lines: rows()
+                .map(|row| Line {
+                    name: format!("{}, {}", row.policy, row.rule),
+                    values: row
+                        .goodput_permille_by_s
+                        .iter()
+                        .map(|permille| *permille as f64 / 10.0)
+                        .collect(),
+                })
+                .collect(),
+        }
+    }
+}
--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -2,10 +2,12 @@
 
 mod options;
 
+use heatherhinge_load::experiment::{Fleet, run_policy_experiment, run_retry_experiment};
+use heatherhinge_load::plot::Plot;
 use heatherhinge_load::profile::Profile;
 use heatherhinge_load::run::{AddressList, Direct, HttpClient, RunLimits, RunReport};
 use heatherhinge_load::run::{compare, run_load};
-use options::{Command, Goal, Output, RunOptions};
+use options::{Command, Experiment, Goal, Output, RunOptions};
 use serde::Serialize;
 use std::process::ExitCode;
 
@@ -14,9 +16,15 @@
 /// The tool cannot do its work.
 const EXIT_FAILED: u8 = 2;
 
+/// Shortest virtual time of an experiment in seconds; shorter ones have no time before a fault.
+const MIN_S: u64 = 6;
+/// Users in the order of the reports.
+const FLEETS: [&str; 2] = [Fleet::VATUWAQA.name, Fleet::KOZHIKODE.name];
+
 fn main() -> ExitCode {
     let result = match options::parse() {
         Command::Run(options) => run(&options),
+        Command::Experiment(experiment) => run_experiment(&experiment),
     };
     match result {
         Ok(true) => ExitCode::SUCCESS,
@@ -105,6 +113,41 @@
         .all(|report| report.bad_permille() <= options.max_bad_permille)
 }
 
+fn run_experiment(experiment: &Experiment) -> eyre::Result<bool> {
+    match experiment {
+        Experiment::Policy(options) => {
+            let report = run_policy_experiment(options.seed, options.duration_s.max(MIN_S))?;
+            println!("{}", report.to_markdown());
+            write_json(&options.output, &report)?;
+            write_plots(&options.output, FLEETS, |fleet| report.plot(fleet))?;
+        }
+        Experiment::Retry(options) => {
+            let report = run_retry_experiment(options.seed, options.duration_s.max(MIN_S))?;
+            println!("{}", report.to_markdown());
+            write_json(&options.output, &report)?;
+            write_plots(&options.output, FLEETS, |fleet| report.plot(fleet))?;
+        }
+    }
+    Ok(true)
+}
+
+/// Writes one plot for each user, with the user's name in the file name.
+fn write_plots(
+    output: &Output,
+    fleets: [&str; 2],
+    plot: impl Fn(&str) -> Plot,
+) -> eyre::Result<()> {
+    let Some(path) = &output.svg else {
+        return Ok(());
+    };
+    for fleet in fleets {
+        let stem = path.file_stem().unwrap_or_default().to_string_lossy();
+        let path = path.with_file_name(format!("{stem}-{fleet}.svg"));
+        plot(fleet).write_svg(&path)?;
+    }
+    Ok(())
+}
+
 fn write_json<T: Serialize>(output: &Output, value: &T) -> eyre::Result<()> {
     if let Some(path) = &output.json {
         std::fs::write(path, serde_json::to_string_pretty(value)?)
--- a/crates/load/src/options.rs
+++ b/crates/load/src/options.rs
@@ -16,6 +16,9 @@
     /// Sends open-loop load over HTTP and reports latencies from the intended send times
     #[bpaf(command)]
     Run(#[bpaf(external(run_options))] RunOptions),
+    /// Compares decisions in virtual time, with the same arrivals and seeds for each
+    #[bpaf(command)]
+    Experiment(#[bpaf(external(experiment))] Experiment),
 }
 
 /// Options of a run.
@@ -85,6 +88,30 @@
     pub(crate) svg: Option<PathBuf>,
 }
 
+/// The experiments.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) enum Experiment {
+    /// Compares the policies for choosing a target
+    #[bpaf(command)]
+    Policy(#[bpaf(external(experiment_options))] ExperimentOptions),
+    /// Compares retry budgets with retrying at once and with no retries, in an outage
+    #[bpaf(command)]
+    Retry(#[bpaf(external(experiment_options))] ExperimentOptions),
+}
+
+/// Options of an experiment.
+#[derive(Clone, Debug, Bpaf)]
+pub(crate) struct ExperimentOptions {
+    /// Seed of arrivals, service times and choices
+    #[bpaf(argument("NUMBER"), fallback(1), display_fallback)]
+    pub(crate) seed: u64,
+    /// Virtual time of each case in seconds, at least 6
+    #[bpaf(argument("S"), fallback(12), display_fallback)]
+    pub(crate) duration_s: u64,
+    #[bpaf(external)]
+    pub(crate) output: Output,
+}
+
 impl RunOptions {
     pub(crate) fn duration(&self) -> eyre::Result<Duration> {
         Duration::try_from_secs_f64(self.duration_s)
