Add the operators' command line

Cause: operators need to check, sign, submit and follow bundles and to get explanations, and must never be told more than is known about a bundle whose answer was lost.

--- /dev/null
+++ b/crates/cli/src/explain.rs
@@ -0,0 +1,75 @@
+//! The story of a request or a move, from the records of all hosts that answer.
+
+use crate::fleet::Fleet;
+use crate::{CallError, Context, EntryClient, Output, Subject};
+use futures_util::future::join_all;
+use heatherhinge_records::admin::ExplainAnswer;
+use heatherhinge_records::{Record, explain as tell};
+use heatherhinge_types::Code;
+use serde_json::json;
+use std::net::SocketAddr;
+
+/// Asks every known host for its records and tells the story.
+pub(crate) async fn explain(
+    context: &Context,
+    subject: &Subject,
+    entries: &[SocketAddr],
+) -> Output {
+    let client = EntryClient::new(context.limits);
+    let path = match subject {
+        Subject::Request(id) => format!("request/{id}"),
+        Subject::Move(id) => format!("move/{id}"),
+    };
+    let addrs = Fleet::ask(&client, entries).await.addrs();
+    let calls = addrs
+        .into_iter()
+        .map(async |addr| (addr, client.explain(addr, &path).await));
+    let (mut records, mut missing, mut has_answer) = (Vec::new(), Vec::new(), false);
+    for (addr, answer) in join_all(calls).await {
+        match found(answer) {
+            Ok(found) => {
+                has_answer = true;
+                records.extend(found);
+            }
+            Err(error) => missing.push((addr, error)),
+        }
+    }
+    if !has_answer {
+        return no_answer(&missing);
+    }
+    story(&records, &missing)
+}
+
+/// Returns the records of an answer; a host that knows of none is an answer too.
+fn found(answer: Result<ExplainAnswer, CallError>) -> Result<Vec<Record>, CallError> {
+    match answer {
+        Ok(answer) => Ok(answer.records),
+        Err(CallError::Refused(r)) if r.code == Code::RecordNotFound.number() => Ok(Vec::new()),
+        Err(error) => Err(error),
+    }
+}
+
+fn no_answer(missing: &[(SocketAddr, CallError)]) -> Output {
+    let reasons: Vec<String> = missing.iter().map(|(a, e)| format!("{a}: {e}.")).collect();
+    Output::unknown(&format!("No entry host answered. {}", reasons.join(" ")))
+}
+
+fn story(records: &[Record], missing: &[(SocketAddr, CallError)]) -> Output {
+    let notes: String = missing
+        .iter()
+        .map(|(addr, error)| {
+            format!("\nHost at {addr}: {error}; its records are missing unless they are above.\n")
+        })
+        .collect();
+    if records.is_empty() && missing.is_empty() {
+        return Output::refused(Code::RecordNotFound, &[]);
+    }
+    if records.is_empty() {
+        return Output::unknown(&format!("No record was found.{notes}"));
+    }
+    let addrs: Vec<String> = missing.iter().map(|(addr, _)| addr.to_string()).collect();
+    Output::ok(
+        format!("{}{notes}", tell(records)),
+        json!({ "records": records, "without_answer": addrs }),
+    )
+}
--- /dev/null
+++ b/crates/cli/src/run.rs
@@ -0,0 +1,74 @@
+//! Carries a command out.
+
+use crate::{
+    CallError, Command, Context, Invocation, Output, check, explain, key, report, status, submit,
+};
+use std::net::SocketAddr;
+
+/// Carries a command out and returns what to print.
+pub async fn run(context: &Context, invocation: &Invocation) -> Output {
+    match &invocation.command {
+        Command::KeyNew { out, id } => key::new(context, out, id.clone()),
+        Command::BundleCheck { file, entries } => check::check(context, file, entries).await,
+        Command::BundleSign { file, key, out } => check::sign(file, key, out),
+        Command::BundleSubmit { envelope, entries } => match named(context, entries) {
+            Ok(entries) => submit::submit(context, envelope, entries).await,
+            Err(output) => output,
+        },
+        Command::BundleStatus { entries } => match named(context, entries) {
+            Ok(entries) => status::bundle_status(context, entries).await,
+            Err(output) => output,
+        },
+        Command::Report { entries } => match named(context, entries) {
+            Ok(entries) => report::report(context, entries).await,
+            Err(output) => output,
+        },
+        Command::Explain { subject, entries } => match named(context, entries) {
+            Ok(entries) => explain::explain(context, subject, entries).await,
+            Err(output) => output,
+        },
+        Command::Status { entries } => match named(context, entries) {
+            Ok(entries) => status::status(context, entries).await,
+            Err(output) => output,
+        },
+    }
+}
+
+/// Returns the entry hosts of the arguments, or else of the environment.
+fn named<'a>(context: &'a Context, entries: &'a [SocketAddr]) -> Result<&'a [SocketAddr], Output> {
+    let entries = if entries.is_empty() {
+        &context.default_entries
+    } else {
+        entries
+    };
+    if entries.is_empty() {
+        return Err(Output::usage(
+            "No entry host is named: give --entry ADDR or set HEATHERHINGE_ENTRY.",
+        ));
+    }
+    Ok(entries)
+}
+
+/// Asks one entry host after the other until one answers. A refusal that is not about the state of
+/// the host ends the search.
+pub(crate) async fn first_answer<T, F>(
+    entries: &[SocketAddr],
+    call: impl Fn(SocketAddr) -> F,
+) -> Result<T, Output>
+where
+    F: Future<Output = Result<T, CallError>>,
+{
+    let mut reasons = Vec::new();
+    for addr in entries {
+        match call(*addr).await {
+            Ok(answer) => return Ok(answer),
+            Err(error) if error.is_of_the_host() => reasons.push(format!("{addr}: {error}.")),
+            Err(CallError::Refused(refusal)) => return Err(Output::from_refusal(&refusal)),
+            Err(error) => reasons.push(format!("{addr}: {error}.")),
+        }
+    }
+    Err(Output::unknown(&format!(
+        "No entry host answered. {}",
+        reasons.join(" ")
+    )))
+}
