Open envelopes as a whole and make revocations last

Cause: the daemon needs one check for a submitted envelope, and a revoked key could come back when an operator submits an earlier text again. Change: Envelope::open_submitted checks signature, text, version and self-revocation; open_accepted checks signature and text only. A bundle must keep the revoked keys of the one in force: a host that missed a bundle in between would otherwise refuse a key that is trusted again.

--- a/crates/bundle/src/check.rs
+++ b/crates/bundle/src/check.rs
@@ -2,7 +2,7 @@
 
 use crate::draft::{Draft, Placed};
 use crate::{Bundle, Route, Service, VersionMove, ZoneState, fields, format_wall_time};
-use heatherhinge_ini::Section;
+use heatherhinge_ini::{Problem, Section};
 use heatherhinge_types::{Name, WallMs};
 use std::collections::BTreeMap;
 
@@ -29,6 +29,36 @@
     check_zones(draft);
     check_routes(draft);
     check_moves(draft, timing);
+    if let MoveTiming::After(_, in_force) = timing {
+        check_revocations(draft, in_force);
+    }
+}
+
+/// A revocation is for good. Otherwise a host that missed the bundle in between would refuse a
+/// bundle that is signed with the key again, and going back to an earlier text would trust the key.
+fn check_revocations(draft: &mut Draft, in_force: &Bundle) {
+    let forgotten: Vec<&str> = in_force
+        .revoked_keys
+        .difference(&draft.revoked_keys)
+        .map(Name::as_str)
+        .collect();
+    if forgotten.is_empty() {
+        return;
+    }
+    let message = format!(
+        "revoked keys of the bundle in force must stay listed: {}",
+        forgotten.join(", ")
+    );
+    let is_signing = |section: &&mut Section| section.title() == "[signing]";
+    match draft.sections.iter_mut().find(is_signing) {
+        Some(section) => section.report(fields::REVOKED.name, message),
+        None => draft.problems.push(Problem {
+            file: draft.file.clone(),
+            line: 0,
+            field: Name::new("[signing]"),
+            message,
+        }),
+    }
 }
 
 fn report(sections: &mut [Section], index: usize, field: &str, message: String) {
--- a/crates/bundle/src/lib.rs
+++ b/crates/bundle/src/lib.rs
@@ -13,6 +13,7 @@
 mod fields;
 mod keys;
 mod model;
+mod open;
 mod parse;
 mod wall_time;
 
@@ -23,6 +24,7 @@
     Budget, Bundle, BundleVersion, Route, RouteClass, SHORTEST_STEP_MS, STEP_SHARES_PERMILLE,
     Service, VersionMove, Zone, ZoneState,
 };
+pub use open::Rejection;
 pub use wall_time::{format_wall_time, format_wall_time_ms, parse_wall_time};
 
 pub use heatherhinge_ini::Problem;
--- a/crates/bundle/tests/envelope.rs
+++ b/crates/bundle/tests/envelope.rs
@@ -45,6 +45,43 @@
     assert_eq!(result.map(|_| ()), expected);
 }
 
+/// Guards against a submitted bundle skipping one of the checks: signature, text, version, and a
+/// key that revokes itself or is trusted again.
+#[parameterized(
+    next = { "ops-2", "version = 7", "version = 8", None },
+    same_version = { "ops-2", "", "", Some((Code::BundleVersion, "")) },
+    skipped_version = { "ops-2", "version = 7", "version = 9", Some((Code::BundleVersion, "")) },
+    malformed = { "ops-2", "slots = 5", "slots = 0", Some((Code::BundleMalformed, "bundle:12: slots: 0 is not within 1 to 1024")) },
+    old_key = { "ops-1", "version = 7", "version = 8", Some((Code::BundleRevokedKey, "")) },
+    revokes_itself = { "ops-2", "version = 7", "version = 8\n[signing]\nrevoked = ops-1, ops-2", Some((Code::BundleRevokedKey, "")) },
+    trusts_again = { "ops-2", "revoked = ops-1", "revoked = ops-3", Some((Code::BundleMalformed, "bundle:47: revoked: revoked keys of the bundle in force must stay listed: ops-1")) },
+    forgets_revocations = { "ops-2", "[signing]\nrevoked = ops-1\n", "", Some((Code::BundleMalformed, "bundle:0: [signing]: revoked keys of the bundle in force must stay listed: ops-1")) },
+)]
+fn submitted_bundle_is_checked(id: &str, from: &str, to: &str, expected: Option<(Code, &str)>) {
+    let in_force = Bundle::parse_accepted(&Name::from("bundle"), GOOD).unwrap();
+    let mut text = GOOD.replacen(from, to, usize::from(!from.is_empty()));
+    if to.contains("[signing]") {
+        text = text.replace("[signing]\nrevoked = ops-1\n", "");
+    }
+    let envelope = Envelope::sign(text, Name::new(id), &key());
+    let opened = envelope.open_submitted(&trusted(id), Some(&in_force), WallMs(0));
+    let found = opened.err().map(|rejection| {
+        let first = rejection.problems.first().map(ToString::to_string);
+        (rejection.code, first.unwrap_or_default())
+    });
+    assert_eq!(found, expected.map(|(code, text)| (code, text.to_owned())));
+}
+
+/// Guards against the first bundle being refused, and against a host refusing one that was
+/// accepted some versions later.
+#[test]
+fn first_and_accepted_bundles_are_opened() {
+    let envelope = signed("ops-2");
+    let first = envelope.open_submitted(&trusted("ops-2"), None, WallMs(0));
+    let accepted = envelope.open_accepted(&trusted("ops-2"), &BTreeSet::new());
+    assert!(first.is_ok() && first == accepted);
+}
+
 /// Guards against another key's signature passing under a trusted id.
 #[test]
 fn signature_of_another_key_is_refused() {
