Count the answers of a version move on the path of a request

Cause: the share of a new version must hold on each route at every moment, and a verdict needs counts by route and version. Change: MoveCounters decides and counts a share in one atomic word, counts good, failed and slow answers, and tracks the old version's 95th percentile; ServiceTargets carries it. The count of a share starts again at each step, because a raised share would otherwise send every request to the new version until it had caught up.

--- a/crates/blackboard/src/lib.rs
+++ b/crates/blackboard/src/lib.rs
@@ -10,6 +10,7 @@
 mod entry;
 mod host_record;
 mod host_table;
+mod move_counters;
 mod move_table;
 mod owner_table;
 mod quarantine_table;
@@ -25,6 +26,7 @@
     Evidence, HostRecord, MoveVerdict, Quarantine, RecordVersion, Spend, WarmTarget,
 };
 pub use host_table::{HostEntry, HostTable};
+pub use move_counters::{MoveCounters, RouteCounters, VersionCounters};
 pub use move_table::{MoveEntry, MoveState, MoveTable};
 pub use owner_table::{Owner, OwnerTable};
 pub use quarantine_table::QuarantineTable;
--- a/crates/blackboard/src/routing.rs
+++ b/crates/blackboard/src/routing.rs
@@ -1,6 +1,6 @@
 //! What the path of a request reads: one consistent snapshot.
 
-use crate::{ServiceCounters, TargetCell};
+use crate::{MoveCounters, ServiceCounters, TargetCell};
 use heatherhinge_bundle::{BundleVersion, Service};
 use heatherhinge_types::Name;
 use std::collections::BTreeMap;
@@ -37,6 +37,8 @@
     pub service: Arc<Service>,
     /// Counters, which outlive the snapshot.
     pub counters: Arc<ServiceCounters>,
+    /// Counters of the move under way, if any, which outlive the snapshot too.
+    pub move_counters: Option<Arc<MoveCounters>>,
     /// The versions that take traffic, the main one first. A second one is there during a move.
     pub pools: Vec<VersionPool>,
 }
--- a/crates/controllers/src/targets.rs
+++ b/crates/controllers/src/targets.rs
@@ -5,8 +5,8 @@
 use crate::Controller;
 use crate::recording::current_basis;
 use heatherhinge_blackboard::{
-    Blackboard, ColdTarget, MoveEntry, MoveState, RoutingSnapshot, ServiceCounters, ServiceTargets,
-    TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
+    Blackboard, ColdTarget, MoveCounters, MoveEntry, MoveState, RoutingSnapshot, ServiceCounters,
+    ServiceTargets, TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
 };
 use heatherhinge_bundle::Service;
 use heatherhinge_types::{Name, Now};
@@ -46,6 +46,7 @@
     list_changed: bool,
     cells: BTreeMap<SocketAddr, Arc<TargetCell>>,
     counters: BTreeMap<Name, Arc<ServiceCounters>>,
+    move_counters: BTreeMap<Name, Arc<MoveCounters>>,
 }
 
 impl TargetController {
@@ -58,6 +59,7 @@
             list_changed: false,
             cells: BTreeMap::new(),
             counters: BTreeMap::new(),
+            move_counters: BTreeMap::new(),
         }
     }
 
@@ -117,19 +119,47 @@
                 })
                 .collect();
             let counters = Arc::clone(self.counters.entry(name.clone()).or_default());
+            let entry = moves.value.services.get(name);
             let targets = ServiceTargets {
                 service: Arc::clone(service),
                 counters,
+                move_counters: self.counters_of_move(service, entry),
                 pools,
             };
             services.insert(name.clone(), Arc::new(targets));
         }
         self.counters
             .retain(|name, _| bundle.services.contains_key(name));
+        self.move_counters
+            .retain(|name, _| bundle.services.contains_key(name));
         self.list_changed = false;
         self.writer.publish(RoutingSnapshot { basis, services });
     }
 
+    /// Keeps the counters of a move for as long as its name and the routes stay the same.
+    fn counters_of_move(
+        &mut self,
+        service: &Service,
+        entry: Option<&MoveEntry>,
+    ) -> Option<Arc<MoveCounters>> {
+        let Some(entry) = entry else {
+            self.move_counters.remove(&service.name);
+            return None;
+        };
+        let known = self.move_counters.get(&service.name).filter(|counters| {
+            let mut routes = service.routes.iter();
+            counters.move_id == entry.id && routes.all(|r| counters.routes.contains_key(&r.name))
+        });
+        let counters = known.cloned().unwrap_or_else(|| {
+            let routes = service.routes.iter().map(|route| route.name.clone());
+            Arc::new(MoveCounters::new(entry.id.clone(), routes))
+        });
+        counters.begin_step(entry.step);
+        self.move_counters
+            .insert(service.name.clone(), Arc::clone(&counters));
+        Some(counters)
+    }
+
     fn pool(
         &self,
         service: &Service,
