Choose the version of a move once for each request

Cause: the path of a request drew the version by chance; the share of a move must hold as a count on each route, and a request that waits was counted at each look. Change: the choice takes the new version by the move's counters, once for each request, gives it back when the new version has no room, and sends a retry to the old version. The data path counts good and failed answers by route and version.

--- a/crates/load/src/experiment/fake_host.rs
+++ b/crates/load/src/experiment/fake_host.rs
@@ -45,6 +45,7 @@
             service: Arc::new(service),
             counters: Arc::new(ServiceCounters::default()),
             pools: vec![pool],
+            move_counters: None,
         };
         Self {
             picker,
@@ -53,6 +54,7 @@
             is_woken: false,
             rng: Pcg64::seed_from_u64(seed.wrapping_mul(1_000).wrapping_add(number as u64)),
             plan: Plan {
+                is_new_version: None,
                 targets: Arc::new(targets),
                 route,
                 is_idempotent: true,
--- a/crates/load/src/experiment/simulation.rs
+++ b/crates/load/src/experiment/simulation.rs
@@ -204,12 +204,12 @@
     fn choose(&mut self, number: u32) -> Choice {
         let request = &self.requests[number as usize];
         let host = &mut self.hosts[request.host];
-        let plan = host.plan(request.arrived_ns);
+        let mut plan = host.plan(request.arrived_ns);
         let avoid = request
             .avoids_target
             .then(|| host.cells[request.target].id.clone());
         choose(
-            &plan,
+            &mut plan,
             avoid.as_ref(),
             &host.picker,
             MonoNs(self.now_ns),
--- a/crates/policy/src/choose.rs
+++ b/crates/policy/src/choose.rs
@@ -4,7 +4,7 @@
 use heatherhinge_blackboard::{ColdTarget, InFlight, ServiceTargets, TargetCell, VersionPool};
 use heatherhinge_bundle::RouteClass;
 use heatherhinge_types::{Code, MonoNs, Name, Urgency};
-use rand::{Rng, RngExt};
+use rand::Rng;
 use std::sync::Arc;
 
 /// Requests that a target may have beyond its slots. They wait in the target's own short queue,
@@ -29,6 +29,8 @@
     pub in_flight: InFlight,
     /// Version that the target runs.
     pub version: Name,
+    /// Whether the target runs the new version of a move.
+    pub is_new_version: bool,
     /// Whether the target is not warm.
     pub is_cold: bool,
     /// Targets that the choice was made from.
@@ -37,42 +39,80 @@
 
 /// Chooses a target for a request. `avoid` is the target that has just failed it.
 pub fn choose<P: Picker, R: Rng>(
-    plan: &Plan,
+    plan: &mut Plan,
     avoid: Option<&Name>,
     picker: &P,
     now_ns: MonoNs,
     rng: &mut R,
 ) -> Choice {
-    let Some(pool) = choose_pool(&plan.targets, rng) else {
-        return Choice::Refuse(Code::NoTarget);
-    };
-    if may_use_cold(plan, pool)
-        && let Some(chosen) = choose_cold(pool, avoid)
+    let targets = Arc::clone(&plan.targets);
+    if takes_new_version(plan, &targets, avoid)
+        && let Some(new) = targets.pools.get(1)
     {
-        return Choice::Send(chosen);
+        if let Some(chosen) = choose_in(plan, new, true, avoid, picker, now_ns, rng) {
+            return Choice::Send(chosen);
+        }
+        // The new version has no room, so the request does not count towards its share.
+        give_back(plan, &targets);
     }
-    let view = PickView {
-        now_ns,
-        limit: limit(plan),
-        avoid,
+    let Some(main) = targets.pools.first() else {
+        return Choice::Refuse(Code::NoTarget);
     };
-    match choose_warm(pool, picker, &view, rng) {
+    match choose_in(plan, main, false, avoid, picker, now_ns, rng) {
         Some(chosen) => Choice::Send(chosen),
-        None if pool.warm.is_empty() && pool.cold.is_empty() => Choice::Refuse(Code::NoTarget),
+        None if main.warm.is_empty() && main.cold.is_empty() => Choice::Refuse(Code::NoTarget),
         None => Choice::Wait,
     }
 }
 
-fn choose_pool<'a, R: Rng>(targets: &'a ServiceTargets, rng: &mut R) -> Option<&'a VersionPool> {
-    let main = targets.pools.first();
-    match targets.pools.get(1) {
-        Some(new) if !new.warm.is_empty() && rng.random_range(0..1_000) < new.share_permille => {
-            Some(new)
-        }
-        _ => main,
+/// Decides once for each request whether it goes to the new version of a move. A retry goes to the
+/// old one, so that a bad version costs a request at most one attempt.
+fn takes_new_version(plan: &mut Plan, targets: &ServiceTargets, avoid: Option<&Name>) -> bool {
+    let (Some(new), Some(moving)) = (targets.pools.get(1), &targets.move_counters) else {
+        return false;
+    };
+    let Some(route) = moving.routes.get(&plan.route.name) else {
+        return false;
+    };
+    let is_new = plan
+        .is_new_version
+        .get_or_insert_with(|| route.try_take_new(new.share_permille));
+    *is_new && avoid.is_none()
+}
+
+fn give_back(plan: &mut Plan, targets: &ServiceTargets) {
+    plan.is_new_version = Some(false);
+    if let Some(moving) = &targets.move_counters
+        && let Some(route) = moving.routes.get(&plan.route.name)
+    {
+        route.give_back_new();
     }
 }
 
+fn choose_in<P: Picker, R: Rng>(
+    plan: &Plan,
+    pool: &VersionPool,
+    is_new_version: bool,
+    avoid: Option<&Name>,
+    picker: &P,
+    now_ns: MonoNs,
+    rng: &mut R,
+) -> Option<Chosen> {
+    let chosen = may_use_cold(plan, pool)
+        .then(|| choose_cold(pool, avoid))
+        .flatten();
+    let view = PickView {
+        now_ns,
+        limit: limit(plan),
+        avoid,
+    };
+    let chosen = chosen.or_else(|| choose_warm(pool, picker, &view, rng))?;
+    Some(Chosen {
+        is_new_version,
+        ..chosen
+    })
+}
+
 /// A cold target may be slow, so it gets work that can be retried and is not urgent, unless there
 /// is no warm target.
 fn may_use_cold(plan: &Plan, pool: &VersionPool) -> bool {
@@ -92,6 +132,7 @@
     Some(Chosen {
         in_flight,
         version: pool.version.clone(),
+        is_new_version: false,
         is_cold: true,
         candidates: pool.cold.len(),
     })
@@ -108,6 +149,7 @@
     Some(Chosen {
         in_flight: cell.try_begin(view.limit)?,
         version: pool.version.clone(),
+        is_new_version: false,
         is_cold: false,
         candidates: pool.warm.len(),
     })
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -39,6 +39,9 @@
     /// Number of the attempt as the caller states it, from 1. Above 1 the system does not retry,
     /// so that layers of retries do not multiply.
     pub caller_attempt: u32,
+    /// The side of a version move that the request was counted for; `None` before its first
+    /// choice. A request is counted once, however often it is waited for or retried.
+    pub is_new_version: Option<bool>,
 }
 
 /// Plans a request, or returns the code with which it is refused.
@@ -75,6 +78,7 @@
         urgency: urgency(facts.headers, route),
         deadline_ns: now_ns.plus_ms(deadline_ms),
         caller_attempt: number(facts.headers, header::ATTEMPT).unwrap_or(1),
+        is_new_version: None,
     })
 }
 
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -67,6 +67,7 @@
         service: Arc::new(service),
         counters: Arc::new(ServiceCounters::default()),
         pools: vec![pool],
+        move_counters: None,
     };
     let services = [(Name::from("orders"), Arc::new(targets))].into();
     RoutingSnapshot {
@@ -203,11 +204,11 @@
         .map(|cell| ColdTarget { cell, allowance: 1 })
         .collect();
     let snapshot = snapshot(cells(warm), cold);
-    let plan = plan_of(&Method::GET, path, &[], &snapshot).unwrap();
+    let mut plan = plan_of(&Method::GET, path, &[], &snapshot).unwrap();
     let rng = &mut Pcg64Mcg::seed_from_u64(1);
     let mut sent = Vec::new();
     for _ in 0..200 {
-        if let Choice::Send(chosen) = choose(&plan, None, &Weighted, NOW_NS, rng) {
+        if let Choice::Send(chosen) = choose(&mut plan, None, &Weighted, NOW_NS, rng) {
             sent.push(chosen);
         }
     }
@@ -222,10 +223,10 @@
         cell.record_success(5_000_000, NOW_NS);
     }
     let snapshot = snapshot(warm.clone(), Vec::new());
-    let plan = plan_of(&Method::GET, "/orders/x", &[], &snapshot).unwrap();
+    let mut plan = plan_of(&Method::GET, "/orders/x", &[], &snapshot).unwrap();
     let rng = &mut Pcg64Mcg::seed_from_u64(1);
     for _ in 0..1_000 {
-        let Choice::Send(chosen) = choose(&plan, None, &Weighted, NOW_NS, rng) else {
+        let Choice::Send(chosen) = choose(&mut plan, None, &Weighted, NOW_NS, rng) else {
             panic!()
         };
         let cell = chosen.in_flight.target();
--- a/crates/proxy/src/dispatcher.rs
+++ b/crates/proxy/src/dispatcher.rs
@@ -106,7 +106,7 @@
         call.basis = snapshot.value.basis;
         drop(snapshot);
         let now_ns = self.clock.mono_ns();
-        match choose(&call.plan, avoid, &self.picker, now_ns, &mut call.rng) {
+        match choose(&mut call.plan, avoid, &self.picker, now_ns, &mut call.rng) {
             Choice::Send(chosen) => Ok(Some(chosen)),
             Choice::Wait => Ok(None),
             Choice::Refuse(code) => Err(code),
--- a/crates/proxy/src/sender.rs
+++ b/crates/proxy/src/sender.rs
@@ -4,7 +4,7 @@
 use crate::call::{Call, Held};
 use crate::headers::AttemptHeaders;
 use crate::{Clock, Limits, Observation, Observer, Peers, Sign};
-use heatherhinge_blackboard::{Blackboard, TargetCell};
+use heatherhinge_blackboard::{Blackboard, RouteCounters, TargetCell};
 use heatherhinge_policy::AttemptOutcome;
 use heatherhinge_records::RecordEvent;
 use heatherhinge_types::{Code, MonoNs};
@@ -169,12 +169,31 @@
                 },
             );
         }
-        self.peers.succeeded(call.digest).await;
+        if let Some(route) = move_route(call) {
+            let (is_new, is_cold) = (held.chosen.is_new_version, held.chosen.is_cold);
+            route.count_good(is_new, result.latency_ns, is_cold);
+        }
+        if self
+            .board
+            .quarantine
+            .read()
+            .value
+            .suspects
+            .contains(&call.digest)
+        {
+            self.peers.succeeded(call.digest).await;
+        }
     }
 
     async fn learn_failure(&self, call: &Call, held: &Held, result: &AttemptResult, now: MonoNs) {
         let target = held.chosen.in_flight.target();
         target.record_failure(now);
+        // A shed request says that the target is full, not that its version is bad.
+        if result.outcome != AttemptOutcome::Shed
+            && let Some(route) = move_route(call)
+        {
+            route.count_failed(held.chosen.is_new_version);
+        }
         if held.chosen.is_cold {
             self.observe(target, Sign::ColdFailure);
         }
@@ -201,3 +220,12 @@
         });
     }
 }
+
+fn move_route(call: &Call) -> Option<&RouteCounters> {
+    call.plan
+        .targets
+        .move_counters
+        .as_ref()?
+        .routes
+        .get(&call.plan.route.name)
+}
