Carry brakes of version moves in the peer protocol

Cause: a host with strong evidence of its own stops sending to a new version and has to tell the leader at once; the protocol had no call for it. Change: new call brake; digests can be read from their hexadecimal form. Conclusion: none.

--- a/crates/blackboard/src/owner_table.rs
+++ b/crates/blackboard/src/owner_table.rs
@@ -73,6 +73,17 @@
             && now.mono_ns.plus_ms(CLOCK_ERROR_MS) < self.own_lease_until_ns
     }
 
+    /// Returns the epoch of a host's lease by the partitions that it owns, or 0 if it owns none.
+    #[must_use]
+    pub fn epoch(&self, host: &Name) -> u64 {
+        let own = self
+            .owners
+            .iter()
+            .flatten()
+            .filter(|owner| owner.host == *host);
+        own.map(|owner| owner.epoch).max().unwrap_or(0)
+    }
+
     /// Counts the partitions of a host.
     #[must_use]
     pub fn count(&self, host: &Name) -> usize {
--- a/crates/peer/src/client.rs
+++ b/crates/peer/src/client.rs
@@ -6,7 +6,7 @@
 use arc_swap::ArcSwap;
 use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
-use heatherhinge_types::Digest;
+use heatherhinge_types::{Digest, Name};
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -182,4 +182,17 @@
             |stub: PeerServiceClient, context| async move { stub.cold_seen(context, report).await };
         self.connection(addr).call(deadline_ms, call).await
     }
+
+    async fn brake(
+        &self,
+        addr: SocketAddr,
+        move_id: Name,
+        from: Name,
+        deadline_ms: u64,
+    ) -> Result<(), PeerError> {
+        let call = |stub: PeerServiceClient, context| async move {
+            stub.brake(context, move_id, from).await
+        };
+        self.connection(addr).call(deadline_ms, call).await
+    }
 }
--- a/crates/peer/src/handler.rs
+++ b/crates/peer/src/handler.rs
@@ -3,7 +3,7 @@
 use crate::{ColdReport, CrashAnswer, CrashReport};
 use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
-use heatherhinge_types::Digest;
+use heatherhinge_types::{Digest, Name};
 use std::future::Future;
 
 /// Answers the calls of other hosts. A handler may be cut short when the deadline of the call has
@@ -35,4 +35,7 @@
 
     /// Takes in that a target was seen cold.
     fn cold_seen(&self, report: ColdReport) -> impl Future<Output = ()> + Send;
+
+    /// Takes in that a host has stopped sending to the new version of a move.
+    fn brake(&self, move_id: Name, from: Name) -> impl Future<Output = ()> + Send;
 }
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -3,7 +3,7 @@
 use crate::{ColdReport, CrashAnswer, CrashReport, PeerError};
 use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
-use heatherhinge_types::Digest;
+use heatherhinge_types::{Digest, Name};
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -83,4 +83,13 @@
         report: ColdReport,
         deadline_ms: u64,
     ) -> impl Future<Output = Result<(), PeerError>> + Send;
+
+    /// Tells the leader of a move that `from` has stopped sending to the new version.
+    fn brake(
+        &self,
+        addr: SocketAddr,
+        move_id: Name,
+        from: Name,
+        deadline_ms: u64,
+    ) -> impl Future<Output = Result<(), PeerError>> + Send;
 }
--- a/crates/peer/src/service.rs
+++ b/crates/peer/src/service.rs
@@ -3,7 +3,7 @@
 use crate::{ColdReport, CrashAnswer, CrashReport, PeerHandler};
 use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
-use heatherhinge_types::Digest;
+use heatherhinge_types::{Digest, Name};
 use std::sync::Arc;
 use tarpc::context::Context;
 
@@ -20,6 +20,7 @@
     async fn fetch_bundle(version: u64) -> Option<Vec<u8>>;
     async fn cold_seen(report: ColdReport);
     async fn hold_back(quarantine: Quarantine);
+    async fn brake(move_id: Name, from: Name);
 }
 
 /// Passes each call on to the handler of this host.
@@ -68,4 +69,8 @@
     async fn cold_seen(self, _: Context, report: ColdReport) {
         self.0.cold_seen(report).await;
     }
+
+    async fn brake(self, _: Context, move_id: Name, from: Name) {
+        self.0.brake(move_id, from).await;
+    }
 }
--- a/crates/peer/tests/faults.rs
+++ b/crates/peer/tests/faults.rs
@@ -72,6 +72,7 @@
         (version > 0).then(|| vec![7; usize::try_from(version).unwrap()])
     }
     async fn cold_seen(&self, _: ColdReport) {}
+    async fn brake(&self, _: Name, _: Name) {}
 }
 
 fn marks(permits: usize) -> Arc<Marks> {
--- a/crates/types/src/digest.rs
+++ b/crates/types/src/digest.rs
@@ -18,6 +18,16 @@
         Self(XxHash3_128::oneshot(bytes))
     }
 
+    /// Reads the 32 hexadecimal digits that [`fmt::Display`] writes.
+    #[must_use]
+    pub fn from_hex(text: &str) -> Option<Self> {
+        let is_hex = text.len() == 32 && text.bytes().all(|byte| byte.is_ascii_hexdigit());
+        is_hex
+            .then(|| u128::from_str_radix(text, 16).ok())
+            .flatten()
+            .map(Self)
+    }
+
     /// Digests several parts; the length of each part is included so that moving a byte from one
     /// part to the next gives another digest.
     #[must_use]
