Add the membership and bundle controllers and the address book

Cause: hosts must know which peers live, bring accepted bundles into force within 4 s, and refuse new work when they cannot tell whether their bundle is the newest. Change: MembershipController exchanges records with up to 5 peers every 500 ms in a seeded rotation; only answers to own questions are signs of life, because a question may have waited in a socket during a pause. Heartbeats are relayed for 1 s at most. BundleController reads the store's row every second, fetches bodies from the store or peers, never lets the version fall, and keeps freshness by contacts whose ages add up or by a majority. AddressBook makes the address answer. The blackboard's status also holds the time of the last contact with the store.

--- a/crates/blackboard/src/counters.rs
+++ b/crates/blackboard/src/counters.rs
@@ -21,6 +21,7 @@
 pub struct HostStatus {
     phase: AtomicU8,
     fresh_until_ns: AtomicU64,
+    store_heard_ns: AtomicU64,
 }
 
 impl HostStatus {
@@ -50,6 +51,23 @@
     pub fn set_fresh_until(&self, until_ns: MonoNs) {
         self.fresh_until_ns.store(until_ns.0, Ordering::Release);
     }
+
+    /// Returns the age of the last contact with the store, directly or through peers, in
+    /// milliseconds; the largest number if there was none since the start or the last pause.
+    #[must_use]
+    pub fn store_age_ms(&self, now_ns: MonoNs) -> u64 {
+        match self.store_heard_ns.load(Ordering::Acquire) {
+            0 => u64::MAX,
+            // A part of a millisecond counts whole, so that adding up ages never makes one younger.
+            heard_ns => now_ns.ns_since(MonoNs(heard_ns)).div_ceil(1_000_000),
+        }
+    }
+
+    /// Sets the time of the last contact with the store, 0 for none; only the bundle controller
+    /// does so.
+    pub fn set_store_heard(&self, heard_ns: MonoNs) {
+        self.store_heard_ns.store(heard_ns.0, Ordering::Release);
+    }
 }
 
 /// Counters of one service on one host.
--- a/crates/blackboard/src/exchange.rs
+++ b/crates/blackboard/src/exchange.rs
@@ -15,7 +15,8 @@
     pub host: Name,
     /// Version of the record held.
     pub version: RecordVersion,
-    /// Count of the host's heartbeats in the run that the version names.
+    /// Count of the host's heartbeats in the run that the version names; 0 if the sender has not
+    /// heard the host within the last second, so that a silent host is not relayed as alive.
     pub beat: u64,
 }
 
@@ -35,6 +36,6 @@
 pub struct ExchangeAnswer {
     /// What the answering host knows, after it took in the records of the request.
     pub digest: Vec<DigestEntry>,
-    /// The answering host's own record, and those that are newer than the digest of the request.
+    /// The answering host's own record first, then those newer than the digest of the request.
     pub records: Vec<HostRecord>,
 }
--- a/crates/blackboard/src/host_record.rs
+++ b/crates/blackboard/src/host_record.rs
@@ -32,8 +32,9 @@
     pub takes_callers: bool,
     /// The bundle in force on the host.
     pub bundle_version: BundleVersion,
-    /// Age of the host's last contact with the store, directly or through peers, when the record
-    /// was sent; in milliseconds.
+    /// Age of the host's last contact with the store, directly or through peers, when the host
+    /// answered an exchange; in milliseconds. It is set on the host's own record in each answer and
+    /// means nothing in a record that came through another host.
     pub store_age_ms: u64,
     /// Epoch of its lease.
     pub lease_epoch: u64,
--- a/crates/blackboard/src/host_table.rs
+++ b/crates/blackboard/src/host_table.rs
@@ -10,7 +10,8 @@
 pub struct HostEntry {
     /// The newest record of the host.
     pub record: Arc<HostRecord>,
-    /// When a newer record of the host last arrived, by any way.
+    /// When the host was last heard, directly or through peers; 0 if it was not heard since the
+    /// start or the last pause of this host.
     pub heard_ns: MonoNs,
     /// Whether the host was heard recently enough to be used.
     pub is_live: bool,
--- /dev/null
+++ b/crates/controllers/src/address_book.rs
@@ -0,0 +1,89 @@
+//! Tells callers which entry hosts to use; `docs/design.md`, sections 11 and 13.
+
+use heatherhinge_blackboard::{HostEntry, HostTable, OwnerTable, ZoneTable};
+use heatherhinge_types::{Name, Partition, WallMs};
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// How long a caller may keep an address answer. A leaving host and a zone that was taken out get
+/// no new callers after this time.
+pub const ADDRESS_KEEP_MS: u64 = 2_000;
+
+/// One entry host that a caller may use.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HostAddress {
+    /// Name of the host.
+    pub host: Name,
+    /// Zone of the host.
+    pub zone: Name,
+    /// Address for callers.
+    pub addr: SocketAddr,
+    /// Partitions that the host owns. A key that ends in one of these bytes is judged by the host
+    /// itself, without a message to another one.
+    pub key_tags: Vec<Partition>,
+}
+
+/// The answer to a caller that asks for addresses.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AddressAnswer {
+    /// How long the answer may be kept, in milliseconds.
+    pub keep_ms: u64,
+    /// Hosts in the order in which they should be tried.
+    pub hosts: Vec<HostAddress>,
+}
+
+/// The entries of the blackboard that an address answer is made from.
+#[derive(Clone, Copy, Debug)]
+pub struct AddressBook<'a> {
+    /// Entry hosts.
+    pub hosts: &'a HostTable,
+    /// Availability zones.
+    pub zones: &'a ZoneTable,
+    /// Owners of partitions.
+    pub owners: &'a OwnerTable,
+}
+
+impl AddressBook<'_> {
+    /// Makes an answer for a caller in `zone`.
+    ///
+    /// Hosts that are silent, that take no callers or whose zone is out are left out. The order is
+    /// random by `seed`, with the hosts of the caller's zone first, so that callers spread over
+    /// the hosts.
+    #[must_use]
+    pub fn answer(&self, zone: Option<&Name>, seed: u64, now_wall_ms: WallMs) -> AddressAnswer {
+        let mut entries: Vec<&HostEntry> = self
+            .hosts
+            .live()
+            .filter(|entry| entry.record.takes_callers)
+            .filter(|entry| self.zones.takes_work(&entry.record.zone))
+            .collect();
+        entries.shuffle(&mut Pcg64Mcg::seed_from_u64(seed));
+        // The sort is stable, so the random order remains within both groups.
+        entries.sort_by_key(|entry| Some(&entry.record.zone) != zone);
+        AddressAnswer {
+            keep_ms: ADDRESS_KEEP_MS,
+            hosts: entries
+                .into_iter()
+                .map(|entry| self.address(entry, now_wall_ms))
+                .collect(),
+        }
+    }
+
+    fn address(&self, entry: &HostEntry, now_wall_ms: WallMs) -> HostAddress {
+        let record = &entry.record;
+        let owns = |partition: &Partition| {
+            self.owners.owner(*partition).is_some_and(|owner| {
+                owner.host == record.host && now_wall_ms < owner.lease_until_wall_ms
+            })
+        };
+        HostAddress {
+            host: record.host.clone(),
+            zone: record.zone.clone(),
+            addr: record.caller_addr,
+            key_tags: Partition::all().filter(owns).collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/controllers/src/bundle_event.rs
@@ -0,0 +1,107 @@
+//! Events and effects of the bundle controller.
+
+use crate::ExchangeTicket;
+use heatherhinge_blackboard::ExchangeAnswer;
+use heatherhinge_bundle::{Bundle, BundleVersion};
+use heatherhinge_types::{Digest, MonoNs, Name};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// The store's row of the accepted bundle.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct CurrentRow {
+    /// Version of the accepted bundle.
+    pub version: BundleVersion,
+    /// Digest of its text.
+    pub digest: Digest,
+}
+
+/// What a peer said about its bundle in an answer that came directly from it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerContact {
+    /// Address of the peer.
+    pub peer_addr: SocketAddr,
+    /// The bundle in force at the peer.
+    pub version: BundleVersion,
+    /// Age of the peer's last contact with the store, directly or through others.
+    pub store_age_ms: u64,
+    /// When the peer was asked.
+    pub asked_ns: MonoNs,
+}
+
+impl PeerContact {
+    /// Takes the contact out of the answer to an exchange; the daemon gives it to the bundle
+    /// controller before it moves the answer into the membership controller.
+    #[must_use]
+    pub fn from_answer(ticket: &ExchangeTicket, answer: &ExchangeAnswer) -> Option<Self> {
+        let record = answer.records.first()?;
+        Some(Self {
+            peer_addr: ticket.peer_addr,
+            version: record.bundle_version,
+            store_age_ms: record.store_age_ms,
+            asked_ns: ticket.asked_ns,
+        })
+    }
+}
+
+/// Where the body of a bundle is fetched from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BundleSource {
+    /// The store's row of that version.
+    Store,
+    /// A peer.
+    Peer(SocketAddr),
+}
+
+/// What the bundle controller is told.
+#[derive(Clone, Debug)]
+pub enum BundleEvent {
+    /// The store's row of the accepted bundle was read; `None` if no bundle was ever accepted.
+    StoreRead {
+        /// When the read was started.
+        asked_ns: MonoNs,
+        /// The row.
+        row: Option<CurrentRow>,
+    },
+    /// The store could not be read.
+    StoreUnreachable,
+    /// A body arrived, was verified with a trusted key, and parsed.
+    Fetched {
+        /// The bundle.
+        bundle: Arc<Bundle>,
+        /// Digest of its text.
+        digest: Digest,
+    },
+    /// The body could not be fetched, or was refused.
+    FetchFailed,
+    /// A peer answered an exchange.
+    PeerHas(PeerContact),
+    /// The platform's list was read; these are the entry hosts in it.
+    Listed(Vec<Name>),
+    /// Time passed; due at least every 500 ms.
+    Tick,
+}
+
+/// What the daemon has to do next.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum BundleEffect {
+    /// Read the store's row of the accepted bundle and report the outcome.
+    ReadRow {
+        /// The time to report as the start of the read.
+        asked_ns: MonoNs,
+    },
+    /// Fetch, verify and parse the body of a bundle and report the outcome.
+    Fetch {
+        /// The least version that is of use; a peer may give a higher one.
+        version: BundleVersion,
+        /// Where to fetch it from.
+        source: BundleSource,
+    },
+    /// Record that a bundle came into force on this host.
+    InForce {
+        /// Version of the bundle.
+        version: BundleVersion,
+        /// Digest of its text.
+        digest: Digest,
+    },
+}
--- /dev/null
+++ b/crates/controllers/src/bundle_spread.rs
@@ -0,0 +1,259 @@
+//! Brings the newest accepted bundle into force and keeps the host's freshness.
+//!
+//! It is the only writer of the `bundle` entry and of the freshness atomics; `docs/design.md`,
+//! sections 8, 13 and 22. The version in force never falls. Bodies come verified; this controller
+//! decides which of them to use.
+
+use crate::freshness::Freshness;
+use crate::pause::PauseDetector;
+use crate::{BundleEffect, BundleEvent, BundleSource, Controller, CurrentRow, PeerContact};
+use heatherhinge_blackboard::{Blackboard, Writer};
+use heatherhinge_bundle::{Bundle, BundleVersion};
+use heatherhinge_types::{Digest, MonoNs, Now};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time between reads of the store's row.
+const READ_MS: u64 = 1_000;
+/// A read whose outcome is not reported for this time is given up, which is the length of
+/// freshness that it could have confirmed.
+const READ_LIMIT_MS: u64 = 3_000;
+/// A fetch whose outcome is not reported for this time is tried elsewhere, so that two sources can
+/// be tried within the 4 s in which a bundle has to be in force.
+const FETCH_LIMIT_MS: u64 = 1_000;
+/// Pause after a failed fetch, so that a source that fails at once is not asked without end.
+const RETRY_MS: u64 = 200;
+
+/// A fetch under way.
+#[derive(Clone, Copy, Debug)]
+struct Fetch {
+    version: BundleVersion,
+    started_ns: MonoNs,
+}
+
+/// Brings the newest accepted bundle into force.
+#[derive(Debug)]
+pub struct BundleController {
+    writer: Writer<Option<Arc<Bundle>>>,
+    in_force: Option<CurrentRow>,
+    /// The newest row that was read.
+    row: Option<CurrentRow>,
+    freshness: Freshness,
+    pause: PauseDetector,
+    read_ns: Option<MonoNs>,
+    next_read_ns: MonoNs,
+    fetch: Option<Fetch>,
+    next_fetch_ns: MonoNs,
+    /// Fetches that failed since the last success, which rotates the sources.
+    failures: usize,
+}
+
+impl BundleController {
+    /// Makes the controller from the one writer of the bundle entry and the peers that the
+    /// settings name.
+    #[must_use]
+    pub fn new(writer: Writer<Option<Arc<Bundle>>>, seed_peers: Vec<SocketAddr>) -> Self {
+        Self {
+            writer,
+            in_force: None,
+            row: None,
+            freshness: Freshness::new(seed_peers),
+            pause: PauseDetector::default(),
+            read_ns: None,
+            next_read_ns: MonoNs(0),
+            fetch: None,
+            next_fetch_ns: MonoNs(0),
+            failures: 0,
+        }
+    }
+
+    fn version(&self) -> Option<BundleVersion> {
+        self.in_force.map(|row| row.version)
+    }
+
+    fn take_row(&mut self, asked_ns: MonoNs, row: Option<CurrentRow>) {
+        self.read_ns = None;
+        if let Some(row) = row {
+            // A read that was long on its way may bring an older row than one before it.
+            if self.row.is_none_or(|held| row.version >= held.version) {
+                self.row = Some(row);
+            }
+        }
+        let version = row.map(|row| row.version).unwrap_or_default();
+        if self.pause.counts(asked_ns) && !self.is_impostor() {
+            self.freshness
+                .take_contact(version, asked_ns, self.version());
+        }
+    }
+
+    /// Returns whether the bundle in force has the version of the row but not its digest: then it
+    /// was signed but never accepted, and another one was.
+    fn is_impostor(&self) -> bool {
+        match (self.in_force, self.row) {
+            (Some(held), Some(row)) => held.version == row.version && held.digest != row.digest,
+            _ => false,
+        }
+    }
+
+    fn take_contact(&mut self, contact: PeerContact) {
+        let age_ns = contact.store_age_ms.saturating_mul(1_000_000);
+        // The answer was made after the question was sent, so its age is at most the age it tells
+        // plus the time since then. Without any contact the difference is 0, which is unknown.
+        let at_ns = if self.pause.counts(contact.asked_ns) {
+            MonoNs(contact.asked_ns.0.saturating_sub(age_ns))
+        } else {
+            MonoNs(0)
+        };
+        self.freshness
+            .take_contact(contact.version, at_ns, self.version());
+    }
+
+    fn take_body(
+        &mut self,
+        bundle: Arc<Bundle>,
+        digest: Digest,
+        now_ns: MonoNs,
+    ) -> Option<BundleEffect> {
+        self.fetch = None;
+        let version = bundle.version;
+        let is_refused = self
+            .row
+            .is_some_and(|row| row.version == version && row.digest != digest);
+        let is_newer = Some(version) > self.version();
+        let replaces_impostor = Some(version) == self.version() && self.is_impostor();
+        if is_refused || !(is_newer || replaces_impostor) {
+            self.fail_fetch(now_ns);
+            return None;
+        }
+        self.failures = 0;
+        self.in_force = Some(CurrentRow { version, digest });
+        self.freshness.take_bundle(version);
+        self.writer.publish(Some(bundle));
+        Some(BundleEffect::InForce { version, digest })
+    }
+
+    fn fail_fetch(&mut self, now_ns: MonoNs) {
+        self.fetch = None;
+        self.failures += 1;
+        self.next_fetch_ns = now_ns.plus_ms(RETRY_MS);
+    }
+
+    fn read(&mut self, now_ns: MonoNs) -> Option<BundleEffect> {
+        let is_under_way = self
+            .read_ns
+            .is_some_and(|started| now_ns < started.plus_ms(READ_LIMIT_MS));
+        if is_under_way || now_ns < self.next_read_ns {
+            return None;
+        }
+        self.read_ns = Some(now_ns);
+        self.next_read_ns = now_ns.plus_ms(READ_MS);
+        Some(BundleEffect::ReadRow { asked_ns: now_ns })
+    }
+
+    fn fetch(&mut self, board: &Blackboard, now_ns: MonoNs) -> Option<BundleEffect> {
+        let version = self.wanted(board)?;
+        let is_under_way = self.fetch.is_some_and(|fetch| {
+            fetch.version >= version && now_ns < fetch.started_ns.plus_ms(FETCH_LIMIT_MS)
+        });
+        if is_under_way || now_ns < self.next_fetch_ns {
+            return None;
+        }
+        if self.fetch.take().is_some_and(|old| old.version >= version) {
+            self.failures += 1;
+        }
+        let source = self.source(board, version)?;
+        self.fetch = Some(Fetch {
+            version,
+            started_ns: now_ns,
+        });
+        Some(BundleEffect::Fetch { version, source })
+    }
+
+    /// Returns the version to fetch: the highest one that the store or any host shows, if it is
+    /// above the one in force, or the version in force if the store names another body for it.
+    fn wanted(&self, board: &Blackboard) -> Option<BundleVersion> {
+        let hosts = board.hosts.read();
+        let at_hosts = hosts
+            .value
+            .hosts
+            .values()
+            .map(|entry| entry.record.bundle_version)
+            .max();
+        let highest = at_hosts
+            .max(self.freshness.highest_pending())
+            .max(self.row.map(|row| row.version))
+            .filter(|version| *version > BundleVersion(0))?;
+        if Some(highest) > self.version() {
+            Some(highest)
+        } else {
+            self.is_impostor().then_some(highest)
+        }
+    }
+
+    /// Chooses among the store, if its row has the version, and the live peers that have it. The
+    /// store comes first; each failure moves on to the next source.
+    fn source(&self, board: &Blackboard, version: BundleVersion) -> Option<BundleSource> {
+        let hosts = board.hosts.read();
+        let in_store = self.row.is_some_and(|row| row.version >= version);
+        let peers = hosts
+            .value
+            .live()
+            .filter(|entry| entry.record.host != board.host)
+            .filter(|entry| entry.record.bundle_version >= version && !self.is_impostor())
+            .map(|entry| BundleSource::Peer(entry.record.peer_addr));
+        let sources: Vec<BundleSource> = in_store
+            .then_some(BundleSource::Store)
+            .into_iter()
+            .chain(peers)
+            .collect();
+        let place = self.failures.checked_rem(sources.len())?;
+        sources.get(place).copied()
+    }
+
+    fn publish_freshness(&mut self, board: &Blackboard, now_ns: MonoNs) {
+        let status = &board.counters.status;
+        let until_ns = match self.version() {
+            Some(version) if !self.is_impostor() => self.freshness.until(
+                &board.host,
+                &board.hosts.read().value,
+                version,
+                &self.pause,
+                now_ns,
+            ),
+            _ => MonoNs(0),
+        };
+        status.set_fresh_until(until_ns);
+        status.set_store_heard(self.freshness.confirmed_ns());
+    }
+}
+
+impl Controller for BundleController {
+    type Event = BundleEvent;
+    type Effect = BundleEffect;
+
+    fn step(&mut self, board: &Blackboard, event: BundleEvent, now: Now) -> Vec<BundleEffect> {
+        let now_ns = now.mono_ns;
+        if self.pause.step(now_ns) {
+            self.freshness.void();
+            self.read_ns = None;
+            self.next_read_ns = now_ns;
+            self.fetch = None;
+        }
+        let mut effects = Vec::new();
+        match event {
+            BundleEvent::StoreRead { asked_ns, row } => self.take_row(asked_ns, row),
+            BundleEvent::StoreUnreachable => self.read_ns = None,
+            BundleEvent::Fetched { bundle, digest } => {
+                effects.extend(self.take_body(bundle, digest, now_ns));
+            }
+            BundleEvent::FetchFailed => self.fail_fetch(now_ns),
+            BundleEvent::PeerHas(contact) => self.take_contact(contact),
+            BundleEvent::Listed(listed) => self.freshness.take_list(listed),
+            BundleEvent::Tick => {}
+        }
+        effects.extend(self.read(now_ns));
+        effects.extend(self.fetch(board, now_ns));
+        self.publish_freshness(board, now_ns);
+        effects
+    }
+}
--- /dev/null
+++ b/crates/controllers/src/membership.rs
@@ -0,0 +1,358 @@
+//! Keeps the table of entry hosts by exchanging records with peers.
+//!
+//! It is the only writer of the `hosts` entry; `docs/design.md`, sections 13 and 22.
+//!
+//! Only answers to this host's own questions are signs of life. A question from a peer may have
+//! waited in a socket while this host was paused or cut off, so its age is not known; its records
+//! are taken in, and a peer that was not heard lately is asked in return.
+
+use crate::pause::PauseDetector;
+use crate::peer_state::{Mark, PeerState};
+use crate::rotation::Rotation;
+use crate::{Controller, ExchangeTicket, ListedHost, MembershipEffect, MembershipEvent};
+use heatherhinge_blackboard::{
+    Blackboard, DigestEntry, ExchangeAnswer, ExchangeRequest, HostEntry, HostRecord, HostTable,
+    RecordVersion, Writer,
+};
+use heatherhinge_types::{MonoNs, Name, Now};
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+/// Time between rounds of exchanges.
+const ROUND_MS: u64 = 500;
+/// Most peers asked in one round.
+const FANOUT: usize = 5;
+/// Most digest entries sent in the questions of one round. At 25 bytes an entry, questions and
+/// answers then stay near the 21 KB/s that a host may spend on control at the design size.
+const ROUND_ENTRIES: usize = 200;
+/// A forgotten host is kept out for this time unless a newer heartbeat of it is heard. Records are
+/// relayed for 10 s, so no older copy can be under way after that.
+const FORGOTTEN_MS: u64 = 60_000;
+
+/// Settings of the membership controller.
+#[derive(Clone, Debug)]
+pub struct MembershipSettings {
+    /// Wall time of the host's start in milliseconds, which tells its runs apart.
+    pub incarnation: u64,
+    /// Addresses of peers to ask first.
+    pub seed_peers: Vec<SocketAddr>,
+    /// Seed of the order in which peers are asked.
+    pub seed: u64,
+}
+
+/// Keeps the table of entry hosts.
+#[derive(Debug)]
+pub struct MembershipController {
+    writer: Writer<HostTable>,
+    own: Option<Arc<HostRecord>>,
+    own_version: RecordVersion,
+    beat: u64,
+    beat_ns: MonoNs,
+    next_round_ns: MonoNs,
+    peers: BTreeMap<Name, PeerState>,
+    forgotten: BTreeMap<Name, (Mark, MonoNs)>,
+    listed: Vec<ListedHost>,
+    seed_peers: Vec<SocketAddr>,
+    rotation: Rotation,
+    pause: PauseDetector,
+}
+
+impl MembershipController {
+    /// Makes the controller from the one writer of the hosts entry.
+    #[must_use]
+    pub fn new(writer: Writer<HostTable>, settings: MembershipSettings) -> Self {
+        Self {
+            writer,
+            own: None,
+            own_version: RecordVersion {
+                incarnation: settings.incarnation,
+                sequence: 0,
+            },
+            beat: 1,
+            beat_ns: MonoNs(0),
+            next_round_ns: MonoNs(0),
+            peers: BTreeMap::new(),
+            forgotten: BTreeMap::new(),
+            listed: Vec::new(),
+            seed_peers: settings.seed_peers,
+            rotation: Rotation::new(settings.seed),
+            pause: PauseDetector::default(),
+        }
+    }
+
+    fn take_own(&mut self, mut record: HostRecord) {
+        record.version = self.own_version;
+        record.store_age_ms = 0;
+        if self.own.as_deref() == Some(&record) {
+            return;
+        }
+        self.own_version.sequence += 1;
+        record.version = self.own_version;
+        self.own = Some(Arc::new(record));
+    }
+
+    /// Takes in records that are newer than those held.
+    fn merge(&mut self, own: &Name, records: Vec<HostRecord>, now_ns: MonoNs) {
+        for record in records {
+            if record.host == *own {
+                self.outbid(record.version);
+            } else if let Some(peer) = self.peers.get_mut(&record.host) {
+                if record.version > peer.record.version {
+                    peer.record = Arc::new(record);
+                }
+            } else if self.is_welcome(&record) {
+                let mark = self
+                    .forgotten
+                    .remove(&record.host)
+                    .map(|(mark, _)| mark)
+                    .unwrap_or_default();
+                let host = record.host.clone();
+                self.peers
+                    .insert(host, PeerState::new(record, mark, now_ns));
+            }
+        }
+    }
+
+    /// A record of a forgotten host is taken in again only if it is of a later run; a host that
+    /// was cut off is welcomed by its newer heartbeat instead.
+    fn is_welcome(&self, record: &HostRecord) -> bool {
+        self.forgotten
+            .get(&record.host)
+            .is_none_or(|(mark, _)| record.version.incarnation > mark.incarnation)
+    }
+
+    /// Moves this run after an earlier one that peers still remember. The wall clock may have been
+    /// set back between the two.
+    fn outbid(&mut self, seen: RecordVersion) {
+        if seen > self.own_version {
+            self.own_version = RecordVersion {
+                incarnation: seen.incarnation + 1,
+                sequence: 1,
+            };
+            if let Some(own) = &mut self.own {
+                Arc::make_mut(own).version = self.own_version;
+            }
+        }
+    }
+
+    /// Lets go of the marks of forgotten hosts whose heartbeats go on.
+    fn welcome_back(&mut self, digest: &[DigestEntry]) {
+        for entry in digest {
+            let is_newer = |(mark, _): &(Mark, MonoNs)| Mark::of(entry) > *mark;
+            if self.forgotten.get(&entry.host).is_some_and(is_newer) {
+                self.forgotten.remove(&entry.host);
+            }
+        }
+    }
+
+    fn hear(&mut self, answering: &Name, digest: &[DigestEntry], at_ns: MonoNs) {
+        for entry in digest {
+            let Some(peer) = self.peers.get_mut(&entry.host) else {
+                continue;
+            };
+            let mark = Mark::of(entry);
+            // The answer itself is a sign of life, even between two heartbeats.
+            if entry.host == *answering || (entry.beat > 0 && mark > peer.mark) {
+                peer.hear(mark, at_ns);
+            }
+        }
+    }
+
+    fn take_answer(
+        &mut self,
+        own: &Name,
+        ticket: ExchangeTicket,
+        answer: ExchangeAnswer,
+        now_ns: MonoNs,
+    ) -> Option<MembershipEffect> {
+        let answering = answer.records.first()?.host.clone();
+        self.welcome_back(&answer.digest);
+        self.merge(own, answer.records, now_ns);
+        if self.pause.counts(ticket.asked_ns) {
+            self.hear(&answering, &answer.digest, ticket.asked_ns);
+        }
+        if ticket.is_push {
+            return None;
+        }
+        let records = self.newer_than(&answer.digest, Some(&answering), now_ns);
+        (!records.is_empty()).then(|| self.exchange(own, ticket.peer_addr, records, true, now_ns))
+    }
+
+    fn take_request(
+        &mut self,
+        board: &Blackboard,
+        request: ExchangeRequest,
+        now_ns: MonoNs,
+    ) -> Vec<MembershipEffect> {
+        self.welcome_back(&request.digest);
+        self.merge(&board.host, request.records, now_ns);
+        for entry in request.digest.iter().filter(|e| e.host == board.host) {
+            self.outbid(entry.version);
+        }
+        let Some(own) = &self.own else {
+            return Vec::new();
+        };
+        let mut records = vec![current_own(own, board, now_ns)];
+        records.extend(self.newer_than(&request.digest, Some(&board.host), now_ns));
+        let answer = ExchangeAnswer {
+            digest: self.digest(&board.host, now_ns),
+            records,
+        };
+        let mut effects = vec![MembershipEffect::Answer(answer)];
+        let asker = self.peers.get(&request.from);
+        if let Some(peer) = asker.filter(|peer| !peer.is_live(now_ns)) {
+            let peer_addr = peer.record.peer_addr;
+            effects.push(self.exchange(&board.host, peer_addr, Vec::new(), false, now_ns));
+        }
+        effects
+    }
+
+    /// Returns the records that the sender of a digest lacks, without those of `except`.
+    fn newer_than(
+        &self,
+        digest: &[DigestEntry],
+        except: Option<&Name>,
+        now_ns: MonoNs,
+    ) -> Vec<HostRecord> {
+        let held: BTreeMap<&Name, RecordVersion> = digest
+            .iter()
+            .map(|entry| (&entry.host, entry.version))
+            .collect();
+        let relayed = self.peers.values().filter(|peer| peer.is_relayed(now_ns));
+        self.own
+            .iter()
+            .chain(relayed.map(|peer| &peer.record))
+            .filter(|record| Some(&record.host) != except)
+            .filter(|record| held.get(&record.host).is_none_or(|v| *v < record.version))
+            .map(|record| HostRecord::clone(record))
+            .collect()
+    }
+
+    fn digest(&self, own: &Name, now_ns: MonoNs) -> Vec<DigestEntry> {
+        let own_entry = DigestEntry {
+            host: own.clone(),
+            version: self.own_version,
+            beat: self.beat,
+        };
+        let others = self.peers.values().filter_map(|peer| peer.digest(now_ns));
+        std::iter::once(own_entry).chain(others).collect()
+    }
+
+    fn exchange(
+        &self,
+        own: &Name,
+        peer_addr: SocketAddr,
+        records: Vec<HostRecord>,
+        is_push: bool,
+        now_ns: MonoNs,
+    ) -> MembershipEffect {
+        MembershipEffect::Exchange {
+            ticket: ExchangeTicket {
+                peer_addr,
+                asked_ns: now_ns,
+                is_push,
+            },
+            request: ExchangeRequest {
+                from: own.clone(),
+                digest: self.digest(own, now_ns),
+                records,
+            },
+        }
+    }
+
+    /// Starts a round if one is due.
+    fn round(&mut self, own: &Name, now_ns: MonoNs) -> Vec<MembershipEffect> {
+        let Some(own_addr) = self.own.as_ref().map(|own| own.peer_addr) else {
+            return Vec::new();
+        };
+        if now_ns < self.next_round_ns {
+            return Vec::new();
+        }
+        self.next_round_ns = now_ns.plus_ms(ROUND_MS);
+        self.beat += 1;
+        self.beat_ns = now_ns;
+        let mut addrs: BTreeSet<SocketAddr> = self.seed_peers.iter().copied().collect();
+        addrs.extend(self.listed.iter().map(|listed| listed.peer_addr));
+        addrs.extend(self.peers.values().map(|peer| peer.record.peer_addr));
+        addrs.remove(&own_addr);
+        let fanout = (ROUND_ENTRIES / (self.peers.len() + 1)).clamp(1, FANOUT);
+        self.rotation
+            .next(&addrs, fanout)
+            .into_iter()
+            .map(|addr| self.exchange(own, addr, Vec::new(), false, now_ns))
+            .collect()
+    }
+
+    fn forget_silent(&mut self, now_ns: MonoNs) {
+        let (listed, forgotten) = (&self.listed, &mut self.forgotten);
+        self.peers.retain(|host, peer| {
+            let is_kept =
+                !peer.is_dropped(now_ns) || listed.iter().any(|listed| listed.host == *host);
+            if !is_kept {
+                forgotten.insert(host.clone(), (peer.mark, now_ns));
+            }
+            is_kept
+        });
+        forgotten.retain(|_, (_, since_ns)| now_ns <= since_ns.plus_ms(FORGOTTEN_MS));
+    }
+
+    fn publish(&mut self, now_ns: MonoNs) {
+        let own = self.own.iter().map(|record| HostEntry {
+            record: Arc::clone(record),
+            heard_ns: self.beat_ns,
+            is_live: true,
+        });
+        let peers = self.peers.values().map(|peer| peer.to_entry(now_ns));
+        let hosts = own
+            .chain(peers)
+            .map(|entry| (entry.record.host.clone(), entry))
+            .collect();
+        self.writer.publish_if_changed(HostTable { hosts });
+    }
+}
+
+/// Returns the own record with the age of the last contact with the store. The version of the
+/// bundle is read after the age, so the contact never counts for an older bundle than it showed.
+fn current_own(own: &HostRecord, board: &Blackboard, now_ns: MonoNs) -> HostRecord {
+    let mut record = own.clone();
+    record.store_age_ms = board.counters.status.store_age_ms(now_ns);
+    if let Some(bundle) = &board.bundle.read().value {
+        record.bundle_version = bundle.version;
+    }
+    record
+}
+
+impl Controller for MembershipController {
+    type Event = MembershipEvent;
+    type Effect = MembershipEffect;
+
+    fn step(
+        &mut self,
+        board: &Blackboard,
+        event: MembershipEvent,
+        now: Now,
+    ) -> Vec<MembershipEffect> {
+        let now_ns = now.mono_ns;
+        if self.pause.step(now_ns) {
+            self.peers.values_mut().for_each(|peer| peer.void(now_ns));
+            self.next_round_ns = now_ns;
+        }
+        let mut effects = Vec::new();
+        match event {
+            MembershipEvent::OwnChanged(record) => self.take_own(*record),
+            MembershipEvent::Asked(request) => {
+                effects.extend(self.take_request(board, request, now_ns));
+            }
+            MembershipEvent::Answered { ticket, answer } => {
+                effects.extend(self.take_answer(&board.host, ticket, answer, now_ns));
+            }
+            MembershipEvent::Listed(listed) => self.listed = listed,
+            MembershipEvent::Tick => {}
+        }
+        self.forget_silent(now_ns);
+        effects.extend(self.round(&board.host, now_ns));
+        self.publish(now_ns);
+        effects
+    }
+}
--- /dev/null
+++ b/crates/controllers/tests/membership.rs
@@ -0,0 +1,293 @@
+//! Membership: who is live, who is known, and who is asked.
+
+#![allow(clippy::unwrap_used, reason = "a failed unwrap fails the test")]
+
+mod common;
+
+use common::{Fleet, at_ms, name, peer_addr, record};
+use heatherhinge_blackboard::{
+    Blackboard, DigestEntry, ExchangeAnswer, ExchangeRequest, HostRecord, RecordVersion,
+};
+use heatherhinge_controllers::{
+    Controller, ExchangeTicket, ListedHost, MembershipController, MembershipEffect,
+    MembershipEvent, MembershipSettings,
+};
+use heatherhinge_types::MonoNs;
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use yare::parameterized;
+
+/// The controller of host 1, stepped by hand.
+struct Member {
+    board: Arc<Blackboard>,
+    controller: MembershipController,
+}
+
+impl Member {
+    fn new(incarnation: u64) -> Self {
+        let (board, writers) = Blackboard::new(name(1), "north".into());
+        let settings = MembershipSettings {
+            incarnation,
+            seed_peers: Vec::new(),
+            seed: 7,
+        };
+        let controller = MembershipController::new(writers.hosts, settings);
+        let mut member = Self { board, controller };
+        let own = record(1, 0, 0);
+        member.step(0, MembershipEvent::OwnChanged(Box::new(own)));
+        member
+    }
+
+    fn step(&mut self, ms: u64, event: MembershipEvent) -> Vec<MembershipEffect> {
+        self.controller.step(&self.board, event, at_ms(ms))
+    }
+
+    /// Steps without news, as a daemon that is not paused does.
+    fn pass(&mut self, from_ms: u64, to_ms: u64) {
+        for ms in (from_ms..=to_ms).step_by(100) {
+            self.step(ms, MembershipEvent::Tick);
+        }
+    }
+
+    /// Takes in an answer of host 2, asked at the same time, with further digest entries.
+    fn answered(&mut self, ms: u64, others: &[(usize, u64)]) {
+        let event = answer_of_2(ms, others);
+        self.step(ms, event);
+    }
+
+    fn is_live(&self, host: usize) -> Option<bool> {
+        let hosts = self.board.hosts.read();
+        hosts
+            .value
+            .hosts
+            .get(&name(host))
+            .map(|entry| entry.is_live)
+    }
+}
+
+fn entry(host: usize, incarnation: u64, beat: u64) -> DigestEntry {
+    DigestEntry {
+        host: name(host),
+        version: RecordVersion {
+            incarnation,
+            sequence: 1,
+        },
+        beat,
+    }
+}
+
+fn answer_of_2(asked_ms: u64, others: &[(usize, u64)]) -> MembershipEvent {
+    let mut digest = vec![entry(2, 5, asked_ms)];
+    let mut records = vec![record(2, 5, 0)];
+    for (host, beat) in others {
+        digest.push(entry(*host, 5, *beat));
+        records.push(record(*host, 5, 0));
+    }
+    MembershipEvent::Answered {
+        ticket: ExchangeTicket {
+            peer_addr: peer_addr(2),
+            asked_ns: MonoNs::from_ms(asked_ms),
+            is_push: true,
+        },
+        answer: ExchangeAnswer { digest, records },
+    }
+}
+
+fn question(from: usize, digest: Vec<DigestEntry>, records: Vec<HostRecord>) -> MembershipEvent {
+    MembershipEvent::Asked(ExchangeRequest {
+        from: name(from),
+        digest,
+        records,
+    })
+}
+
+/// Guards against a silent host that is used after 2 s or forgotten while it is listed.
+#[parameterized(
+    just_heard = { 2_000, false, Some(true) },
+    silent = { 2_100, false, Some(false) },
+    silent_long = { 10_000, false, Some(false) },
+    silent_and_gone = { 10_200, false, None },
+    silent_but_listed = { 60_000, true, Some(false) },
+)]
+fn silence_of(silent_ms: u64, is_listed: bool, expected: Option<bool>) {
+    let mut member = Member::new(5);
+    let listed = ListedHost {
+        host: name(2),
+        peer_addr: peer_addr(2),
+    };
+    let listed = if is_listed { vec![listed] } else { vec![] };
+    member.step(0, MembershipEvent::Listed(listed));
+    member.answered(100, &[]);
+    member.pass(200, 100 + silent_ms);
+    assert_eq!(member.is_live(2), expected);
+}
+
+/// Guards against a host that is kept alive by heartbeats that it no longer sends.
+#[parameterized(
+    newer_heartbeat = { 8, Some(true) },
+    same_heartbeat = { 7, Some(false) },
+    older_heartbeat = { 6, Some(false) },
+    not_heard_by_the_relay = { 0, Some(false) },
+)]
+fn relayed_heartbeat(beat: u64, expected: Option<bool>) {
+    let mut member = Member::new(5);
+    member.answered(100, &[(3, 7)]);
+    assert_eq!(member.is_live(3), Some(true));
+    member.pass(200, 2_400);
+    member.answered(2_500, &[(3, beat)]);
+    assert_eq!(member.is_live(3), expected);
+}
+
+/// Guards against a forgotten host that comes back by the copies of others.
+#[parameterized(
+    same_heartbeat = { 7, None },
+    not_heard_by_the_relay = { 0, None },
+    newer_heartbeat = { 8, Some(true) },
+)]
+fn forgotten_host(beat: u64, expected: Option<bool>) {
+    let mut member = Member::new(5);
+    member.answered(100, &[(3, 7)]);
+    member.pass(200, 11_000);
+    assert_eq!(member.is_live(3), None);
+    member.answered(11_100, &[(3, beat)]);
+    assert_eq!(member.is_live(3), expected);
+}
+
+/// Guards against signs of life from before a pause that count after it, and against hosts that
+/// are forgotten because this host did not listen.
+#[parameterized(
+    no_pause = { 1_000, 900, Some(true) },
+    answer_from_before = { 31_000, 900, Some(false) },
+    recent_answer_from_before = { 2_200, 900, Some(false) },
+    answer_from_after = { 31_000, 31_000, Some(true) },
+)]
+fn pause_voids_signs_of_life(resumed_ms: u64, asked_ms: u64, expected: Option<bool>) {
+    let mut member = Member::new(5);
+    member.answered(100, &[]);
+    member.pass(200, 900);
+    member.step(resumed_ms, answer_of_2(asked_ms, &[]));
+    assert_eq!(member.is_live(2), expected);
+}
+
+/// Guards against a question that waited in a socket being taken for a sign of life. The asker is
+/// asked in return instead.
+#[test]
+fn question_is_no_sign_of_life() {
+    let mut member = Member::new(5);
+    let digest = vec![entry(2, 5, 3), entry(1, 5, 9)];
+    let effects = member.step(100, question(2, digest, vec![record(2, 5, 0)]));
+    assert_eq!(member.is_live(2), Some(false));
+    assert!(matches!(effects[0], MembershipEffect::Answer(_)));
+    let asks_back = |effect: &MembershipEffect| matches!(effect, MembershipEffect::Exchange { ticket, .. } if ticket.peer_addr == peer_addr(2));
+    assert!(effects.iter().any(asks_back));
+}
+
+/// Guards against a restarted host whose records are ignored because its wall clock was set back.
+#[parameterized(
+    clock_set_back = { 900, 901 },
+    clock_right = { 100, 500 },
+)]
+fn restart_outbids_the_earlier_run(remembered: u64, expected: u64) {
+    let mut member = Member::new(500);
+    let effects = member.step(100, question(2, vec![entry(1, remembered, 40)], vec![]));
+    let MembershipEffect::Answer(answer) = &effects[0] else {
+        panic!("no answer: {effects:?}");
+    };
+    assert_eq!(answer.records[0].version.incarnation, expected);
+    assert_eq!(answer.digest[0].version.incarnation, expected);
+}
+
+/// Guards against records that are sent although the peer has them, or that are held back.
+#[test]
+fn answer_carries_what_the_peer_lacks() {
+    let mut member = Member::new(5);
+    member.answered(100, &[(3, 7), (4, 7)]);
+    let effects = member.step(200, question(9, vec![entry(3, 5, 0)], vec![]));
+    let MembershipEffect::Answer(answer) = &effects[0] else {
+        panic!("no answer: {effects:?}");
+    };
+    let hosts: Vec<_> = answer.records.iter().map(|r| r.host.clone()).collect();
+    assert_eq!(hosts, [name(1), name(2), name(4)]);
+}
+
+/// Guards against a host that is cut off and counted as heard for longer than a bundle may take
+/// to be in force.
+#[parameterized(
+    heard_lately = { 1_100, Some(7) },
+    not_heard_for_a_second = { 1_200, Some(0) },
+    silent_for_long = { 10_200, None },
+)]
+fn relay_of_a_heartbeat(asked_at_ms: u64, expected: Option<u64>) {
+    let mut member = Member::new(5);
+    member.answered(100, &[(3, 7)]);
+    member.pass(200, asked_at_ms);
+    let effects = member.step(asked_at_ms, question(9, vec![], vec![]));
+    let MembershipEffect::Answer(answer) = &effects[0] else {
+        panic!("no answer: {effects:?}");
+    };
+    let relayed = answer.digest.iter().find(|entry| entry.host == name(3));
+    assert_eq!(relayed.map(|entry| entry.beat), expected);
+}
+
+/// Guards against peers that are asked more often than others, and against an order that differs
+/// from run to run.
+#[test]
+fn rounds_ask_each_peer_equally_often() {
+    let rounds = || {
+        let mut member = Member::new(5);
+        let listed = (1..=19).map(|host| ListedHost {
+            host: name(host),
+            peer_addr: peer_addr(host),
+        });
+        member.step(0, MembershipEvent::Listed(listed.collect()));
+        let mut asked: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        let mut order = Vec::new();
+        for ms in (500..=9_000).step_by(500) {
+            let effects = member.step(ms, MembershipEvent::Tick);
+            assert_eq!(effects.len(), 5);
+            for effect in effects {
+                let MembershipEffect::Exchange { ticket, .. } = effect else {
+                    panic!("not an exchange: {effect:?}");
+                };
+                *asked.entry(ticket.peer_addr).or_default() += 1;
+                order.push(ticket.peer_addr);
+            }
+        }
+        (asked, order)
+    };
+    let (asked, order) = rounds();
+    assert_eq!(asked.len(), 18);
+    assert!(asked.values().all(|count| *count == 5), "{asked:?}");
+    assert_eq!(order, rounds().1);
+}
+
+/// Guards against a host that stays unknown to some, or silent hosts that stay known, in a fleet
+/// of today's size.
+#[test]
+fn fleet_learns_of_starts_and_ends() {
+    let mut fleet = Fleet::new(19, 1);
+    fleet.run_ms(3_000);
+    fleet.run_checked(5_000, |fleet| {
+        for host in 1..=19 {
+            assert_eq!(fleet.live(host).len(), 19, "{}", fleet.log);
+        }
+    });
+    fleet.stop(7);
+    fleet.listed.remove(&7);
+    fleet.run_ms(4_000);
+    assert!(
+        (1..=6).all(|host| fleet.live(host).len() == 18),
+        "{}",
+        fleet.log
+    );
+    fleet.run_ms(10_000);
+    assert!((1..=6).all(|host| fleet.known(host) == 18), "{}", fleet.log);
+    fleet.restart(7);
+    fleet.run_ms(3_000);
+    assert!(
+        (1..=19).all(|host| fleet.live(host).len() == 19),
+        "{}",
+        fleet.log
+    );
+}
