--- a/crates/blackboard/src/exchange.rs
+++ b/crates/blackboard/src/exchange.rs
@@ -1,8 +1,8 @@
 //! Messages by which hosts exchange their records; `docs/design.md`, section 13.
 //!
-//! A host sends a digest of what it knows; the peer answers with its own digest and the records
-//! that are newer than the digest received. Heartbeats travel in the digest, so a host that lives
-//! but has nothing new to say does not send its record again.
+//! A host sends a digest of what it knows; the peer answers with what differs from it and with the
+//! records that are newer. Heartbeats travel in the digest, so a host that lives but has nothing
+//! new to say does not send its record again.
 
 use crate::{HostRecord, RecordVersion};
 use heatherhinge_types::Name;
@@ -34,7 +34,9 @@
 /// Answers an [`ExchangeRequest`].
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ExchangeAnswer {
-    /// What the answering host knows, after it took in the records of the request.
+    /// The answering host's own entry, and where its knowledge differs from the digest of the
+    /// request: newer heartbeats, other versions, and version 0 for a host that it does not know.
+    /// What is left out is the same, which saves about half of the entries.
     pub digest: Vec<DigestEntry>,
     /// The answering host's own record first, then those newer than the digest of the request.
     pub records: Vec<HostRecord>,
--- a/crates/controllers/src/membership.rs
+++ b/crates/controllers/src/membership.rs
@@ -23,9 +23,9 @@
 const ROUND_MS: u64 = 500;
 /// Most peers asked in one round.
 const FANOUT: usize = 5;
-/// Most digest entries sent in the questions of one round. At 25 bytes an entry, questions and
-/// answers then stay near the 21 KB/s that a host may spend on control at the design size.
-const ROUND_ENTRIES: usize = 200;
+/// Digest entries sent in the questions of one round, on average. Answers are about half as long,
+/// so at 25 bytes an entry both stay within the 21 KB/s that a host may spend on control.
+const ROUND_ENTRIES: usize = 270;
 /// A forgotten host is kept out for this time unless a newer heartbeat of it is heard. Records are
 /// relayed for 10 s, so no older copy can be under way after that.
 const FORGOTTEN_MS: u64 = 60_000;
@@ -50,6 +50,7 @@
     beat: u64,
     beat_ns: MonoNs,
     next_round_ns: MonoNs,
+    entry_credit: usize,
     peers: BTreeMap<Name, PeerState>,
     forgotten: BTreeMap<Name, (Mark, MonoNs)>,
     listed: Vec<ListedHost>,
@@ -72,6 +73,7 @@
             beat: 1,
             beat_ns: MonoNs(0),
             next_round_ns: MonoNs(0),
+            entry_credit: 0,
             peers: BTreeMap::new(),
             forgotten: BTreeMap::new(),
             listed: Vec::new(),
@@ -175,7 +177,7 @@
         if ticket.is_push {
             return None;
         }
-        let records = self.newer_than(&answer.digest, Some(&answering), now_ns);
+        let records = self.lacking(&answer.digest, &answering);
         (!records.is_empty()).then(|| self.exchange(own, ticket.peer_addr, records, true, now_ns))
     }
 
@@ -194,11 +196,9 @@
             return Vec::new();
         };
         let mut records = vec![current_own(own, board, now_ns)];
-        records.extend(self.newer_than(&request.digest, Some(&board.host), now_ns));
-        let answer = ExchangeAnswer {
-            digest: self.digest(&board.host, now_ns),
-            records,
-        };
+        let digest = self.difference(&board.host, &request.digest, now_ns);
+        records.extend(self.newer_than(&request.digest, now_ns));
+        let answer = ExchangeAnswer { digest, records };
         let mut effects = vec![MembershipEffect::Answer(answer)];
         let asker = self.peers.get(&request.from);
         if let Some(peer) = asker.filter(|peer| !peer.is_live(now_ns)) {
@@ -208,27 +208,70 @@
         effects
     }
 
-    /// Returns the records that the sender of a digest lacks, without those of `except`.
-    fn newer_than(
-        &self,
-        digest: &[DigestEntry],
-        except: Option<&Name>,
-        now_ns: MonoNs,
-    ) -> Vec<HostRecord> {
+    /// Returns the relayed records that are newer than the digest of a question.
+    fn newer_than(&self, digest: &[DigestEntry], now_ns: MonoNs) -> Vec<HostRecord> {
         let held: BTreeMap<&Name, RecordVersion> = digest
             .iter()
             .map(|entry| (&entry.host, entry.version))
             .collect();
-        let relayed = self.peers.values().filter(|peer| peer.is_relayed(now_ns));
-        self.own
-            .iter()
-            .chain(relayed.map(|peer| &peer.record))
-            .filter(|record| Some(&record.host) != except)
+        self.peers
+            .values()
+            .filter(|peer| peer.is_relayed(now_ns))
+            .map(|peer| &peer.record)
             .filter(|record| held.get(&record.host).is_none_or(|v| *v < record.version))
             .map(|record| HostRecord::clone(record))
             .collect()
     }
 
+    /// Returns the records that the sender of an answer lacks, but not its own.
+    fn lacking(&self, digest: &[DigestEntry], answering: &Name) -> Vec<HostRecord> {
+        let own = self.own.as_ref();
+        digest
+            .iter()
+            .filter(|entry| entry.host != *answering)
+            .filter_map(|entry| {
+                let peer = self.peers.get(&entry.host).map(|peer| &peer.record);
+                peer.or(own.filter(|own| own.host == entry.host))
+                    .filter(|record| record.version > entry.version)
+            })
+            .map(|record| HostRecord::clone(record))
+            .collect()
+    }
+
+    /// Returns the digest of an answer: where it differs from the digest of the question.
+    fn difference(&self, own: &Name, asked: &[DigestEntry], now_ns: MonoNs) -> Vec<DigestEntry> {
+        let held: BTreeMap<&Name, &DigestEntry> =
+            asked.iter().map(|entry| (&entry.host, entry)).collect();
+        let differs = |entry: &DigestEntry| {
+            held.get(&entry.host)
+                .is_none_or(|asked| entry.version != asked.version || entry.beat > asked.beat)
+        };
+        let known = self.digest(own, now_ns);
+        let wanted = asked
+            .iter()
+            .filter_map(|entry| self.wanted(own, entry, now_ns));
+        let news = known
+            .iter()
+            .filter(|entry| entry.host == *own || differs(entry));
+        news.cloned().chain(wanted).collect()
+    }
+
+    /// Returns what is held of a host in the digest of a question, if that is less than the asking
+    /// host has and the host is not in the own digest. A forgotten host is not wanted again.
+    fn wanted(&self, own: &Name, asked: &DigestEntry, now_ns: MonoNs) -> Option<DigestEntry> {
+        let peer = self.peers.get(&asked.host);
+        let is_told = peer.is_some_and(|peer| peer.is_relayed(now_ns));
+        if asked.host == *own || is_told || self.forgotten.contains_key(&asked.host) {
+            return None;
+        }
+        let version = peer.map(|peer| peer.record.version).unwrap_or_default();
+        (version < asked.version).then(|| DigestEntry {
+            host: asked.host.clone(),
+            version,
+            beat: 0,
+        })
+    }
+
     fn digest(&self, own: &Name, now_ns: MonoNs) -> Vec<DigestEntry> {
         let own_entry = DigestEntry {
             host: own.clone(),
@@ -276,7 +319,11 @@
         addrs.extend(self.listed.iter().map(|listed| listed.peer_addr));
         addrs.extend(self.peers.values().map(|peer| peer.record.peer_addr));
         addrs.remove(&own_addr);
-        let fanout = (ROUND_ENTRIES / (self.peers.len() + 1)).clamp(1, FANOUT);
+        let known = self.peers.len() + 1;
+        // What is left over of a round is added to the next, so that the average is met.
+        self.entry_credit = self.entry_credit.min(known) + ROUND_ENTRIES;
+        let fanout = (self.entry_credit / known).clamp(1, FANOUT);
+        self.entry_credit = self.entry_credit.saturating_sub(fanout * known);
         self.rotation
             .next(&addrs, fanout)
             .into_iter()
--- a/crates/controllers/tests/membership.rs
+++ b/crates/controllers/tests/membership.rs
@@ -198,17 +198,28 @@
     assert_eq!(answer.digest[0].version.incarnation, expected);
 }
 
-/// Guards against records that are sent although the peer has them, or that are held back.
+/// Guards against records and digest entries that are sent although the peer has them, or that are
+/// held back although it lacks them.
 #[test]
 fn answer_carries_what_the_peer_lacks() {
     let mut member = Member::new(5);
     member.answered(100, &[(3, 7), (4, 7)]);
-    let effects = member.step(200, question(9, vec![entry(3, 5, 0)], vec![]));
+    let effects = member.step(
+        200,
+        question(9, vec![entry(3, 5, 7), entry(8, 5, 3)], vec![]),
+    );
     let MembershipEffect::Answer(answer) = &effects[0] else {
         panic!("no answer: {effects:?}");
     };
     let hosts: Vec<_> = answer.records.iter().map(|r| r.host.clone()).collect();
     assert_eq!(hosts, [name(1), name(2), name(4)]);
+    let digest: Vec<_> = answer
+        .digest
+        .iter()
+        .map(|e| (e.host.clone(), e.beat))
+        .collect();
+    assert_eq!(digest[1..], [(name(2), 100), (name(4), 7), (name(8), 0)]);
+    assert_eq!(answer.digest[3].version, RecordVersion::default());
 }
 
 /// Guards against a host that is cut off and counted as heard for longer than a bundle may take
