Test which source replaces a body that was not accepted

Cause: a mutation that let peers serve as a source in that case made no test fail. Change: the test publishes such a peer and expects the store to be asked again; the stand-in's module page names its paths and admin calls.

--- a/crates/controllers/tests/bundle_faults.rs
+++ b/crates/controllers/tests/bundle_faults.rs
@@ -182,6 +182,17 @@
     }
 }
 
+fn table_of(host: usize, version: u64, heard_ms: u64) -> HostTable {
+    let entry = HostEntry {
+        record: Arc::new(record(host, 1, version)),
+        heard_ns: MonoNs::from_ms(heard_ms),
+        is_live: true,
+    };
+    HostTable {
+        hosts: [(name(host), entry)].into(),
+    }
+}
+
 fn fetched(version: u64) -> BundleEvent {
     BundleEvent::Fetched {
         bundle: bundle(version),
@@ -283,12 +294,7 @@
     for ms in (1_200..=9_000).step_by(100) {
         let mut table = HostTable::default();
         for (host, version) in (2..).zip(versions) {
-            let entry = HostEntry {
-                record: Arc::new(record(host, 1, *version)),
-                heard_ns: MonoNs::from_ms(ms),
-                is_live: true,
-            };
-            table.hosts.insert(name(host), entry);
+            table.hosts.extend(table_of(host, *version, ms).hosts);
         }
         lone.hosts.publish(table);
         lone.step(ms, BundleEvent::FetchFailed);
@@ -317,14 +323,7 @@
 fn majority_from_before_a_pause_does_not_count() {
     let mut lone = Lone::with(1);
     lone.step(1_100, BundleEvent::Listed(vec![name(1), name(2)]));
-    let entry = HostEntry {
-        record: Arc::new(record(2, 1, 1)),
-        heard_ns: MonoNs::from_ms(1_900),
-        is_live: true,
-    };
-    let mut table = HostTable::default();
-    table.hosts.insert(name(2), entry);
-    lone.hosts.publish(table);
+    lone.hosts.publish(table_of(2, 1, 1_900));
     lone.step(2_000, BundleEvent::Tick);
     assert!(lone.is_fresh(4_800));
     lone.step(4_800, BundleEvent::Tick);
@@ -347,14 +346,21 @@
         source: BundleSource::Store,
     }));
     assert!(!lone.is_fresh(1_200));
+    // A peer with the same version may have the same body, so the store is asked again.
+    lone.hosts.publish(table_of(2, 2, 1_200));
     assert_eq!(lone.step(1_300, unaccepted), []);
-    let accepted = lone.step(1_400, fetched(2));
+    let again = lone.step(1_500, BundleEvent::Tick);
+    assert!(again.contains(&BundleEffect::Fetch {
+        version: BundleVersion(2),
+        source: BundleSource::Store,
+    }));
+    let accepted = lone.step(1_600, fetched(2));
     assert!(accepted.contains(&BundleEffect::InForce {
         version: BundleVersion(2),
         digest: digest(2),
     }));
-    lone.step(1_500, read(1_500, Some(row(2))));
-    assert!(lone.is_fresh(1_500));
+    lone.step(1_700, read(1_700, Some(row(2))));
+    assert!(lone.is_fresh(1_700));
 }
 
 /// Guards against a failing source that is asked without pause.
--- a/crates/standin-platform/src/lib.rs
+++ b/crates/standin-platform/src/lib.rs
@@ -3,9 +3,13 @@
 //! It speaks the published protocols of the three services that heatherhinge uses, each in the
 //! subset that heatherhinge uses:
 //!
-//! - the table service: DynamoDB's JSON 1.0 protocol ([`Table`]);
-//! - the object store: the S3 REST protocol ([`ObjectStore`]);
-//! - the host list: Prometheus' `http_sd` JSON ([`HostList`]).
+//! - the table service: DynamoDB's JSON 1.0 protocol at `POST /` ([`Table`]);
+//! - the object store: the S3 REST protocol at `/BUCKET/KEY` ([`ObjectStore`]);
+//! - the host list: Prometheus' `http_sd` JSON at `GET /hosts` ([`HostList`]).
+//!
+//! Admin calls are taken on every address: `POST /admin/faults` with [`FaultSettings`],
+//! `GET /admin/counters` with [`Counts`], and `POST /admin/hosts` with a list of [`TargetGroup`]s,
+//! which takes an entry off the list when its state is `gone`.
 //!
 //! Anything outside the subset is an error that says so. Faults are switched on and off while the
 //! stand-in runs ([`FaultSettings`]). All state belongs to one [`RunningPlatform`], so many can run
