Rank targets by own load, slowness and last use in Weighted

Cause: experiment policy showed Weighted behind round robin when nothing goes wrong. The estimate of other hosts' requests comes from reports that are older than most requests, so all hosts follow the same reports; and one long service time by chance counted as a slow target. Change: Weighted looks at up to 32 targets, ranks by own requests in flight, counts latency only above twice the median of the candidates, and takes the target that answered longest ago among equals. Reports still decide whether a target has room.

--- a/crates/policy/src/weighted.rs
+++ b/crates/policy/src/weighted.rs
@@ -1,47 +1,79 @@
-//! Chooses by estimated load and latency among a few random targets.
+//! Chooses by own requests in flight, latency and failures; the policy of the daemon.
+//!
+//! The figures behind its parts are in `docs/measurements.md`, "Choice of a target".
 
 use crate::{PickView, Picker, estimated_in_flight};
-use heatherhinge_blackboard::TargetCell;
+use heatherhinge_blackboard::{TargetCell, TargetSample};
 use heatherhinge_types::MonoNs;
 use rand::{Rng, RngExt};
 use std::sync::Arc;
 
-/// Targets looked at for one decision. More would let hosts with the same stale reports choose the
-/// same target, and would cost more at 5,000 targets.
-const CHOICES: usize = 4;
-/// Latency assumed of a target that has not answered yet.
-const UNKNOWN_LATENCY_NS: u64 = 1_000_000;
+/// Targets looked at for one decision. The services of today's users have at most this many, so
+/// all of theirs are looked at; at 5,000 targets the bound keeps the cost of a decision constant.
+const CHOICES: usize = 32;
 /// Time for which a failing target is held at a distance after its last failure.
 const FAILURE_HOLD_MS: u64 = 1_000;
 /// Factor on the cost of a target for each failure in a row, as a power of two.
 const FAILURE_SHIFT_MAX: u32 = 12;
+/// Latency that counts as slow, as a multiple of the median of the candidates. Service times vary
+/// by nature, so a smaller difference says little about a target; a larger bound finds a sudden
+/// slow-down later.
+const SLOW_RATIO: u64 = 2;
 
-/// Chooses the lowest of estimated load × latency among [`CHOICES`] random targets that have room.
+/// Chooses the lowest product of own load, slowness and failures among up to [`CHOICES`] targets
+/// that have room.
 ///
-/// A target that fails fast answers quickly and looks idle, so failures in a row multiply its cost.
+/// - Load is this host's own requests in flight. What a report says of other hosts' requests only
+///   decides whether there is room: a host hears from a target more rarely than a request lasts,
+///   so a ranking by reports sends hosts to the same targets and rewards targets that lie.
+/// - Slowness is the latency as a multiple of the median, if it is above [`SLOW_RATIO`].
+/// - A target that fails fast looks idle, so failures in a row multiply its cost.
+/// - Among equals, the target that answered longest ago is chosen, which spaces out the requests
+///   that it gets from this host.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Weighted;
 
-impl Weighted {
-    /// Returns the cost of sending one more request to a target, or `None` if it has no room.
-    fn cost(cell: &TargetCell, view: &PickView<'_>) -> Option<u128> {
+/// What one decision needs to know of a target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Candidate {
+    index: usize,
+    own_in_flight: u32,
+    latency_ns: u64,
+    penalty_shift: u32,
+    answered_ns: MonoNs,
+}
+
+impl Candidate {
+    /// Reads a target; `None` if it has no room.
+    fn read(cell: &TargetCell, index: usize, view: &PickView<'_>) -> Option<Self> {
         let sample = cell.sample(view.now_ns);
-        let in_flight = estimated_in_flight(&sample, view.now_ns);
-        if in_flight + 1_000 > u64::from(view.limit) * 1_000 {
+        if estimated_in_flight(&sample, view.now_ns) + 1_000 > u64::from(view.limit) * 1_000 {
             return None;
         }
-        let latency_ns = if sample.latency_ns == 0 {
-            UNKNOWN_LATENCY_NS
+        let avoid_shift = if view.avoids(cell) {
+            FAILURE_SHIFT_MAX
         } else {
-            sample.latency_ns
+            0
         };
-        let shift = failure_shift(sample.failures, sample.failed_at_ns, view.now_ns)
-            + if view.avoids(cell) {
-                FAILURE_SHIFT_MAX
-            } else {
-                0
-            };
-        Some((u128::from(in_flight + 1_000) * u128::from(latency_ns)) << shift)
+        Some(Self {
+            index,
+            own_in_flight: sample.own_in_flight,
+            latency_ns: sample.latency_ns,
+            penalty_shift: avoid_shift + failure_shift(&sample, view.now_ns),
+            answered_ns: sample.reported_ns,
+        })
+    }
+
+    /// Returns the cost of one more request, and the time that decides among equal costs.
+    fn rank(&self, usual_ns: u64) -> (u128, MonoNs) {
+        let slowness_permille = if self.latency_ns > usual_ns.saturating_mul(SLOW_RATIO) {
+            u128::from(self.latency_ns) * 1_000 / u128::from(usual_ns.max(1))
+        } else {
+            1_000
+        };
+        let load = u128::from(self.own_in_flight) + 1;
+        let cost = load * slowness_permille;
+        (cost << self.penalty_shift, self.answered_ns)
     }
 }
 
@@ -55,17 +87,44 @@
         if targets.is_empty() {
             return None;
         }
-        (0..CHOICES)
-            .map(|_| rng.random_range(0..targets.len()))
-            .filter_map(|index| Some((Self::cost(&targets[index], view)?, index)))
-            .min()
-            .map(|(_, index)| index)
+        // A run of neighbours from a random start needs one random number and no memory of what
+        // was looked at.
+        let start = rng.random_range(0..targets.len());
+        let mut candidates = [Candidate::default(); CHOICES];
+        let mut count = 0;
+        for step in 0..targets.len().min(CHOICES) {
+            let index = (start + step) % targets.len();
+            if let Some(candidate) = Candidate::read(&targets[index], index, view) {
+                candidates[count] = candidate;
+                count += 1;
+            }
+        }
+        let candidates = &candidates[..count];
+        let usual_ns = usual_latency_ns(candidates);
+        candidates
+            .iter()
+            .min_by_key(|candidate| candidate.rank(usual_ns))
+            .map(|candidate| candidate.index)
+    }
+}
+
+/// Returns the median latency of the candidates that have answered, or the largest number if none
+/// has, so that an unknown usual latency makes no target slow.
+fn usual_latency_ns(candidates: &[Candidate]) -> u64 {
+    let mut latencies = [0; CHOICES];
+    let mut count = 0;
+    for candidate in candidates.iter().filter(|c| c.latency_ns > 0) {
+        latencies[count] = candidate.latency_ns;
+        count += 1;
     }
+    let known = &mut latencies[..count];
+    known.sort_unstable();
+    known.get(count / 2).copied().unwrap_or(u64::MAX)
 }
 
-fn failure_shift(failures: u32, failed_at_ns: MonoNs, now_ns: MonoNs) -> u32 {
-    if now_ns.ms_since(failed_at_ns) >= FAILURE_HOLD_MS {
+fn failure_shift(sample: &TargetSample, now_ns: MonoNs) -> u32 {
+    if now_ns.ms_since(sample.failed_at_ns) >= FAILURE_HOLD_MS {
         return 0;
     }
-    (failures * 2).min(FAILURE_SHIFT_MAX)
+    sample.failures.saturating_mul(2).min(FAILURE_SHIFT_MAX)
 }
