Add the controller that owns leases and partitions

Cause: every guarantee that is a sum over hosts rests on one owner a partition. Change: OwnershipController with a statig machine for the host's lease, rendezvous hashing, takeovers in transactions of at most 25 parts, release on a planned stop, and adoption of claims only from the tenure that was replaced. Effects name rows and conditions and hold no codec. Host rows gain peer_addr and is_ended: taking a partition of a lapsed owner ends that owner's epoch in the same transaction, so a renewal that was sent in time but takes effect late fails, and one write releases all partitions of a host that stops. A host whose lease lapsed while the store was down goes on with the same tenures if nobody ended its epoch. ClaimTable::hand_over takes the flag of the tenure in place of the tenure. While a host releases, its entry names it as owner of nothing, so that it cannot grant a claim after its claims were closed. Conclusion: not done: moving partitions to a host that joins; it takes partitions only when their owners stop, restart or lapse.

--- a/crates/claims/src/partition_claims.rs
+++ b/crates/claims/src/partition_claims.rs
@@ -1,7 +1,7 @@
 //! The claims of one partition.
 
 use crate::claim::Claim;
-use crate::{HandedPartition, Tenure, TenureId};
+use crate::{HandedPartition, TenureId};
 use heatherhinge_types::{RequestKey, WallMs};
 use std::collections::BTreeMap;
 
@@ -31,13 +31,16 @@
         std::mem::take(&mut self.claims)
     }
 
-    /// Returns the start of the tenure from which the claims are complete.
-    pub(crate) fn complete_from_wall_ms(&self, tenure: &Tenure) -> WallMs {
+    /// Returns the start from which the claims of a tenure are complete: that of the tenure, or an
+    /// earlier one if the tenure adopted claims.
+    pub(crate) fn complete_from_wall_ms(
+        &self,
+        from_wall_ms: WallMs,
+        has_earlier_claims: bool,
+    ) -> WallMs {
         match self.adopted {
-            Some((from, complete)) if tenure.has_earlier_claims && from == tenure.from_wall_ms => {
-                complete
-            }
-            _ => tenure.from_wall_ms,
+            Some((from, complete)) if has_earlier_claims && from == from_wall_ms => complete,
+            _ => from_wall_ms,
         }
     }
 
--- a/crates/claims/src/table.rs
+++ b/crates/claims/src/table.rs
@@ -78,7 +78,8 @@
         if !tenure.is_valid(now) || place.is_closed(tenure.from_wall_ms) {
             return ClaimAnswer::NotOwner;
         }
-        let complete_from = place.complete_from_wall_ms(tenure);
+        let complete_from =
+            place.complete_from_wall_ms(tenure.from_wall_ms, tenure.has_earlier_claims);
         if let Some(code) = refusal_by_age(request.key, complete_from, now.wall_ms) {
             return refused(code);
         }
@@ -140,16 +141,18 @@
     ///
     /// From this call on the tenure grants nothing, so the returned claims stay complete although
     /// requests keep arriving. Settlements that arrive later get [`SettleAnswer::NotHeld`].
+    /// `has_earlier_claims` is that of the tenure.
     pub fn hand_over(
         &mut self,
         partition: Partition,
         giver: TenureId,
-        tenure: &Tenure,
+        has_earlier_claims: bool,
     ) -> HandedPartition {
         let place = self.partitions.entry(partition).or_default();
-        let complete_from_wall_ms = place.complete_from_wall_ms(tenure);
+        let from_wall_ms = giver.from_wall_ms;
+        let complete_from_wall_ms = place.complete_from_wall_ms(from_wall_ms, has_earlier_claims);
         let claims: Vec<_> = place
-            .close(tenure.from_wall_ms)
+            .close(from_wall_ms)
             .into_iter()
             .map(|(key, claim)| HandedClaim::new(key, claim))
             .collect();
--- a/crates/claims/tests/table.rs
+++ b/crates/claims/tests/table.rs
@@ -229,7 +229,7 @@
         from_wall_ms: held.from_wall_ms,
     };
     let partition = known.key.partition();
-    let handed = old.hand_over(partition, giver.clone(), &held);
+    let handed = old.hand_over(partition, giver.clone(), false);
     assert_eq!(
         old.claim(&request(key(6_000, 2), 3), &held, at(6_000)),
         ClaimAnswer::NotOwner
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -4,8 +4,15 @@
 //! and the time. It does no input or output: [`Controller::step`] returns what the daemon has to
 //! do next. See `docs/design.md`, sections 4 and 5.
 
+mod adoption;
 mod controller;
+mod host_lease;
+mod ownership;
+mod ownership_event;
+mod ownership_rows;
 mod recording;
+mod rendezvous;
+mod takeover;
 mod target_warmup;
 mod targets;
 mod tenures;
@@ -14,6 +21,12 @@
 mod warmup_event;
 
 pub use controller::Controller;
+pub use host_lease::HostIdentity;
+pub use ownership::{OwnershipController, READ_INTERVAL_MS};
+pub use ownership_event::{HandOver, OwnershipEffect, OwnershipEvent, WriteResult};
+pub use ownership_rows::{
+    HostCondition, HostRow, OwnershipRows, PartitionCondition, PartitionRow, RowWrite,
+};
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
 pub use tenures::Tenures;
--- /dev/null
+++ b/crates/controllers/src/ownership.rs
@@ -0,0 +1,380 @@
+//! Acquires and renews the host's lease, takes partitions over and gives them up.
+//!
+//! It is the only writer of the `owners` entry; `docs/design.md`, sections 6 and 22.
+
+use crate::adoption::{Adoption, tenure_of};
+use crate::host_lease::{HostLease, LeaseContext, LeaseEvent, State};
+use crate::recording::record_of;
+use crate::rendezvous::preferred;
+use crate::takeover::Takeover;
+use crate::{
+    Controller, HandOver, HostIdentity, OwnershipEffect, OwnershipEvent, OwnershipRows,
+    PartitionRow, RowWrite, WriteResult,
+};
+use heatherhinge_blackboard::{Blackboard, Owner, OwnerTable, Writer};
+use heatherhinge_claims::TenureId;
+use heatherhinge_records::{RecordEvent, Subject};
+use heatherhinge_types::{MonoNs, Name, Now, Partition};
+use statig::blocking::{IntoStateMachineExt as _, StateMachine};
+use std::fmt;
+use std::net::SocketAddr;
+
+/// Shortest time between two reads of the rows. It grows by 20 ms with each row, so that a fleet
+/// of 190 hosts, with 446 rows of about 150 bytes, reads less than 8 KB/s on each host.
+pub const READ_INTERVAL_MS: u64 = 1_000;
+const READ_INTERVAL_PER_ROW_MS: u64 = 20;
+
+/// Pause after the store could not be reached.
+const STORE_BACKOFF_MS: u64 = 1_000;
+
+/// Pause in writing after a write whose outcome is unknown or that lost against another. Without
+/// it, answers that are lost at once would make this host write without end.
+const WRITE_BACKOFF_MS: u64 = 200;
+
+/// Length of the lease before the first bundle.
+const DEFAULT_LEASE_MS: u64 = 120_000;
+
+/// What a write under way is for.
+#[derive(Debug)]
+enum Purpose {
+    Lease,
+    Takes(Vec<RowWrite>),
+}
+
+/// Owns the host's lease and its partitions.
+pub struct OwnershipController {
+    writer: Writer<OwnerTable>,
+    lease: StateMachine<HostLease>,
+    me: HostIdentity,
+    rows: OwnershipRows,
+    takeover: Takeover,
+    adoption: Adoption,
+    next_id: u64,
+    write: Option<(u64, Purpose)>,
+    read: Option<u64>,
+    /// Reads with a lower number may have missed the last write.
+    first_valid_read: u64,
+    /// Whether the rows have to be read before anything is written.
+    is_in_doubt: bool,
+    /// Whether a reader found the entry out of date.
+    is_doubted: bool,
+    last_read_ns: Option<MonoNs>,
+    read_after_ns: MonoNs,
+    write_after_ns: MonoNs,
+    is_stopped: bool,
+}
+
+impl fmt::Debug for OwnershipController {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("OwnershipController")
+            .field("lease", self.lease.state())
+            .field("write", &self.write)
+            .finish_non_exhaustive()
+    }
+}
+
+impl OwnershipController {
+    /// Makes the controller from the one writer of the owners entry. The daemon must have bound
+    /// the peer address in `me` before.
+    #[must_use]
+    pub fn new(writer: Writer<OwnerTable>, me: HostIdentity, now: Now) -> Self {
+        Self {
+            writer,
+            lease: HostLease::new(me.clone()).state_machine(),
+            me,
+            rows: OwnershipRows::default(),
+            takeover: Takeover::new(now),
+            adoption: Adoption::default(),
+            next_id: 1,
+            write: None,
+            read: None,
+            first_valid_read: 0,
+            is_in_doubt: true,
+            is_doubted: false,
+            last_read_ns: None,
+            read_after_ns: MonoNs(0),
+            write_after_ns: MonoNs(0),
+            is_stopped: false,
+        }
+    }
+
+    fn take_id(&mut self) -> u64 {
+        self.next_id += 1;
+        self.next_id
+    }
+
+    fn take_rows(&mut self, id: u64, rows: OwnershipRows, now: Now) -> Option<LeaseEvent> {
+        if self.read == Some(id) {
+            self.read = None;
+        }
+        if id < self.first_valid_read || self.write.is_some() {
+            return None;
+        }
+        self.rows = rows;
+        self.is_in_doubt = false;
+        self.is_doubted = false;
+        self.last_read_ns = Some(now.mono_ns);
+        self.adoption.forget_lost(&self.rows, &self.me.host);
+        Some(LeaseEvent::RowRead(
+            self.rows.hosts.get(&self.me.host).cloned(),
+        ))
+    }
+
+    fn take_result(&mut self, id: u64, result: WriteResult, now: Now) -> Option<LeaseEvent> {
+        let (_, purpose) = self.write.take_if(|(write_id, _)| *write_id == id)?;
+        self.first_valid_read = self.next_id + 1;
+        match result {
+            WriteResult::Applied => {}
+            WriteResult::Down => self.write_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS),
+            WriteResult::Conflict | WriteResult::Unknown => {
+                self.is_in_doubt = true;
+                self.write_after_ns = now.mono_ns.plus_ms(WRITE_BACKOFF_MS);
+            }
+        }
+        match purpose {
+            Purpose::Lease => Some(LeaseEvent::Written(result)),
+            Purpose::Takes(parts) => {
+                if result == WriteResult::Applied {
+                    self.rows.apply(parts);
+                }
+                None
+            }
+        }
+    }
+
+    fn take_event(&mut self, event: OwnershipEvent, now: Now) -> LeaseEvent {
+        let lease_event = match event {
+            OwnershipEvent::RowsRead { id, rows } => self.take_rows(id, rows, now),
+            OwnershipEvent::ReadFailed { id } => {
+                self.read.take_if(|read| *read == id);
+                self.read_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS);
+                None
+            }
+            OwnershipEvent::Written { id, result } => self.take_result(id, result, now),
+            OwnershipEvent::ClaimsReceived { partition, giver } => {
+                self.adoption.note_received(partition, giver);
+                None
+            }
+            OwnershipEvent::Doubted => {
+                self.is_doubted = true;
+                None
+            }
+            OwnershipEvent::ClaimsHandedOver => Some(LeaseEvent::ClaimsHandedOver),
+            OwnershipEvent::StopRequested => Some(LeaseEvent::StopRequested),
+            OwnershipEvent::Tick => None,
+        };
+        lease_event.unwrap_or(LeaseEvent::Tick)
+    }
+
+    fn may_write(&self, now: Now) -> bool {
+        self.write.is_none() && !self.is_in_doubt && now.mono_ns >= self.write_after_ns
+    }
+
+    fn start_write(&mut self, parts: Vec<RowWrite>, purpose: Purpose) -> OwnershipEffect {
+        let id = self.take_id();
+        self.write = Some((id, purpose));
+        OwnershipEffect::Write { id, rows: parts }
+    }
+
+    /// Steps the lease and returns the effects that it asks for.
+    fn step_lease(
+        &mut self,
+        board: &Blackboard,
+        event: &LeaseEvent,
+        now: Now,
+    ) -> Vec<OwnershipEffect> {
+        let mut context = LeaseContext {
+            now,
+            lease_ms: lease_ms(board),
+            may_write: self.may_write(now),
+            write: None,
+            hand_over: false,
+            is_stopped: false,
+        };
+        self.lease.handle_with_context(event, &mut context);
+        let mut effects = Vec::new();
+        if let Some((row, _)) = self.lease.current() {
+            self.rows.hosts.insert(row.host.clone(), row.clone());
+        }
+        if context.hand_over {
+            effects.push(OwnershipEffect::HandOverClaims(self.hand_overs(board)));
+        }
+        if let Some((row, condition)) = context.write {
+            let parts = vec![RowWrite::Host { row, condition }];
+            effects.push(self.start_write(parts, Purpose::Lease));
+        }
+        if context.is_stopped && !self.is_stopped {
+            self.is_stopped = true;
+            effects.push(OwnershipEffect::Stopped);
+        }
+        effects
+    }
+
+    fn hand_overs(&self, board: &Blackboard) -> Vec<HandOver> {
+        let live = others(board);
+        let hand_over = |row: &PartitionRow| {
+            let next = preferred(row.partition, live.iter().map(|(name, _)| name));
+            HandOver {
+                partition: row.partition,
+                giver: tenure_of(row),
+                has_earlier_claims: self.adoption.giver(row).is_some(),
+                to: next.and_then(|next| live.iter().find(|(name, _)| name == next).cloned()),
+            }
+        };
+        self.own_rows().map(hand_over).collect()
+    }
+
+    fn own_rows(&self) -> impl Iterator<Item = &PartitionRow> {
+        let epoch = self.lease.current().map(|(row, _)| row.epoch);
+        self.rows
+            .partitions
+            .values()
+            .filter(move |row| row.owner == self.me.host && Some(row.owner_epoch) == epoch)
+    }
+
+    fn plan_takes(&mut self, board: &Blackboard, now: Now) -> Option<OwnershipEffect> {
+        if *self.lease.state() != (State::Held {}) || !self.may_write(now) {
+            return None;
+        }
+        let me = self.lease.current()?.0.clone();
+        let mut live: Vec<Name> = others(board).into_iter().map(|(name, _)| name).collect();
+        live.push(me.host.clone());
+        let parts = self.takeover.plan(&self.rows, &me, &live, now);
+        if parts.is_empty() {
+            return None;
+        }
+        self.adoption.note_takes(&parts);
+        Some(self.start_write(parts.clone(), Purpose::Takes(parts)))
+    }
+
+    fn plan_read(&mut self, now: Now) -> Option<OwnershipEffect> {
+        let rows = self.rows.hosts.len() + self.rows.partitions.len();
+        let rows = u64::try_from(rows).unwrap_or(u64::MAX);
+        let interval_ms = match self.is_doubted {
+            true => READ_INTERVAL_MS,
+            false => READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS)),
+        };
+        let is_due = self.is_in_doubt
+            || self
+                .last_read_ns
+                .is_none_or(|last| now.mono_ns.ms_since(last) >= interval_ms);
+        let may_read =
+            self.read.is_none() && self.write.is_none() && now.mono_ns >= self.read_after_ns;
+        if !is_due || !may_read || self.is_stopped {
+            return None;
+        }
+        let id = self.take_id();
+        self.read = Some(id);
+        Some(OwnershipEffect::Read { id })
+    }
+
+    fn owner_of(&self, row: &PartitionRow, is_held: bool) -> Option<Owner> {
+        let host = self.rows.hosts.get(&row.owner)?;
+        let is_own = row.owner == self.me.host;
+        if host.epoch != row.owner_epoch || host.is_ended || (is_own && !is_held) {
+            return None;
+        }
+        Some(Owner {
+            host: row.owner.clone(),
+            peer_addr: host.peer_addr,
+            epoch: row.owner_epoch,
+            from_wall_ms: row.from_wall_ms,
+            lease_until_wall_ms: host.lease_until_wall_ms,
+            has_earlier_claims: is_own && self.adoption.giver(row).is_some(),
+        })
+    }
+
+    /// Publishes the entry and returns the adoptions and records that follow from the change.
+    fn publish(&mut self, board: &Blackboard, received: bool, now: Now) -> Vec<OwnershipEffect> {
+        // While the host releases its lease it owns nothing any more, so that it cannot grant
+        // claims after it has handed them over.
+        let is_releasing = *self.lease.state() == (State::Releasing {});
+        let held = self.lease.current().filter(|_| !is_releasing);
+        let held = held.map(|(row, end)| (row.epoch, end));
+        let mut table = OwnerTable::default();
+        if let Some((_, end)) = held {
+            table.own_lease_until_wall_ms = end.wall_ms;
+            table.own_lease_until_ns = end.mono_ns;
+        }
+        let (mut effects, mut taken, mut released) = (Vec::new(), 0, 0);
+        let old = self.writer.read();
+        for partition in Partition::all() {
+            let row = self.rows.partitions.get(&partition);
+            let owner = row.and_then(|row| self.owner_of(row, held.is_some()));
+            let is_own = |owner: Option<&Owner>| owner.is_some_and(|o| o.host == self.me.host);
+            let before = old.value.owner(partition);
+            taken += u32::from(is_own(owner.as_ref()) && !is_own(before));
+            released += u32::from(is_own(before) && !is_own(owner.as_ref()));
+            let adopts = owner.as_ref().filter(|owner| owner.has_earlier_claims);
+            let adopted_before = before.is_some_and(|owner| owner.has_earlier_claims);
+            if let Some((row, _)) = row.zip(adopts).filter(|_| received || !adopted_before) {
+                effects.extend(self.adoption.giver(row).map(|giver| adopt(row, giver)));
+            }
+            table.set(partition, owner);
+        }
+        drop(old);
+        self.writer.publish_if_changed(table);
+        if taken + released > 0 {
+            let epoch = held.map_or(0, |(epoch, _)| epoch);
+            let event = RecordEvent::Ownership {
+                taken,
+                released,
+                epoch,
+            };
+            effects.push(OwnershipEffect::Record(record_of(
+                board,
+                now,
+                Subject::Host,
+                event,
+            )));
+        }
+        effects
+    }
+}
+
+impl Controller for OwnershipController {
+    type Event = OwnershipEvent;
+    type Effect = OwnershipEffect;
+
+    fn step(
+        &mut self,
+        board: &Blackboard,
+        event: OwnershipEvent,
+        now: Now,
+    ) -> Vec<OwnershipEffect> {
+        let received = matches!(event, OwnershipEvent::ClaimsReceived { .. });
+        let lease_event = self.take_event(event, now);
+        let mut effects = self.step_lease(board, &lease_event, now);
+        effects.extend(self.plan_takes(board, now));
+        effects.extend(self.plan_read(now));
+        effects.extend(self.publish(board, received, now));
+        effects
+    }
+}
+
+fn adopt(row: &PartitionRow, giver: &TenureId) -> OwnershipEffect {
+    OwnershipEffect::AdoptClaims {
+        partition: row.partition,
+        giver: giver.clone(),
+        from_wall_ms: row.from_wall_ms,
+    }
+}
+
+fn lease_ms(board: &Blackboard) -> u64 {
+    let bundle = board.bundle.read();
+    bundle
+        .value
+        .as_ref()
+        .map_or(DEFAULT_LEASE_MS, |bundle| bundle.budget.lease_ms)
+}
+
+/// Returns the other live hosts that take callers, with the addresses of their peer protocol.
+fn others(board: &Blackboard) -> Vec<(Name, SocketAddr)> {
+    let hosts = board.hosts.read();
+    hosts
+        .value
+        .live()
+        .filter(|entry| entry.record.takes_callers && entry.record.host != board.host)
+        .map(|entry| (entry.record.host.clone(), entry.record.peer_addr))
+        .collect()
+}
