--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -20,6 +20,13 @@
 mod quarantine_event;
 mod recording;
 mod rotation;
+mod adoption;
+mod host_lease;
+mod ownership;
+mod ownership_event;
+mod ownership_rows;
+mod rendezvous;
+mod takeover;
 mod target_warmup;
 mod targets;
 mod tenures;
@@ -39,6 +46,11 @@
 pub use quarantine::QuarantineController;
 pub use quarantine_event::{
     CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
+pub use host_lease::HostIdentity;
+pub use ownership::{OwnershipController, READ_INTERVAL_MS};
+pub use ownership_event::{HandOver, OwnershipEffect, OwnershipEvent, WriteResult};
+pub use ownership_rows::{
+    HostCondition, HostRow, OwnershipRows, PartitionCondition, PartitionRow, RowWrite,
 };
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
