--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,6 +5,7 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod address_book;
+mod adoption;
 mod bundle_event;
 mod bundle_spread;
 mod controller;
@@ -12,20 +13,19 @@
 mod drain;
 mod drain_machine;
 mod freshness;
+mod host_lease;
 mod membership;
 mod membership_event;
+mod ownership;
+mod ownership_event;
+mod ownership_rows;
 mod pause;
 mod peer_state;
 mod quarantine;
 mod quarantine_event;
 mod recording;
-mod rotation;
-mod adoption;
-mod host_lease;
-mod ownership;
-mod ownership_event;
-mod ownership_rows;
 mod rendezvous;
+mod rotation;
 mod takeover;
 mod target_warmup;
 mod targets;
@@ -41,17 +41,18 @@
 pub use bundle_spread::BundleController;
 pub use controller::Controller;
 pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
+pub use host_lease::HostIdentity;
 pub use membership::{MembershipController, MembershipSettings};
 pub use membership_event::{ExchangeTicket, ListedHost, MembershipEffect, MembershipEvent};
-pub use quarantine::QuarantineController;
-pub use quarantine_event::{
-    CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
-pub use host_lease::HostIdentity;
 pub use ownership::{OwnershipController, READ_INTERVAL_MS};
 pub use ownership_event::{HandOver, OwnershipEffect, OwnershipEvent, WriteResult};
 pub use ownership_rows::{
     HostCondition, HostRow, OwnershipRows, PartitionCondition, PartitionRow, RowWrite,
 };
+pub use quarantine::QuarantineController;
+pub use quarantine_event::{
+    CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
+};
 pub use target_warmup::AnswerKind;
 pub use targets::{ListedTarget, TargetController, TargetEvent};
 pub use tenures::Tenures;
