Lead version moves by a sequential test

Cause: a bad version must get only its cap and be taken back soon, a good one must be done in time, and store, leader and hosts may fail meanwhile. Change: the move controller keeps one state machine for each move, a test that compares both versions in the same second, route and zone, a local brake, conditional rows and reports as effects, and sticky verdicts from peers and the store. A harness of real controllers in virtual time drives 16 and 19 hosts.

--- /dev/null
+++ b/crates/controllers/examples/support/mod.rs
@@ -0,0 +1,5 @@
+//! A simulated version move: the real controllers of several hosts, a store, callers and targets.
+
+pub mod move_fleet;
+pub mod setup;
+pub mod world;
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -8,9 +8,15 @@
 mod crash_counts;
 mod drain;
 mod drain_machine;
+mod move_event;
+mod move_evidence;
+mod move_machine;
+mod move_test;
+mod moves;
 mod quarantine;
 mod quarantine_event;
 mod recording;
+mod service_move;
 mod target_warmup;
 mod targets;
 mod tenures;
@@ -22,6 +28,9 @@
 
 pub use controller::Controller;
 pub use drain::{DrainController, DrainEffect, DrainEvent, DrainLimits};
+pub use move_event::{MoveEffect, MoveEvent, MoveReport, MoveRow, StoreUnavailable, WriteOutcome};
+pub use move_test::{Counts, Judgement, Measure, MoveTest, Stratum, Window};
+pub use moves::MoveController;
 pub use quarantine::QuarantineController;
 pub use quarantine_event::{
     CrashReport, QuarantineEffect, QuarantineEvent, ReportId, ReportOutcome,
--- /dev/null
+++ b/crates/controllers/src/moves.rs
@@ -0,0 +1,164 @@
+//! Leads version moves and applies their shares.
+//!
+//! It is the only writer of the `moves` entry; `docs/design.md`, sections 12 and 22, and
+//! `docs/controllers/moves.md`.
+
+use crate::move_evidence::own_evidence;
+use crate::service_move::{ServiceMove, counters};
+use crate::{Controller, MoveEffect, MoveEvent};
+use heatherhinge_blackboard::{Blackboard, Evidence, MoveTable, MoveVerdict, Writer};
+use heatherhinge_bundle::BundleVersion;
+use heatherhinge_types::{MonoNs, Name, Now};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+
+/// Time between two publications of evidence; records are exchanged as often.
+const PUBLISH_MS: u64 = 500;
+/// Final verdicts that are remembered for moves that are no longer in the bundle.
+const MAX_FINISHED: usize = 256;
+
+/// Keeps the move table.
+pub struct MoveController {
+    writer: Writer<MoveTable>,
+    moves: BTreeMap<Name, ServiceMove>,
+    /// Final verdicts of moves that left the bundle, in case that the same name comes back.
+    finished: BTreeMap<Name, MoveVerdict>,
+    bundle: BundleVersion,
+    random: Pcg64Mcg,
+    published: (Vec<Evidence>, Vec<MoveVerdict>),
+    published_ns: MonoNs,
+}
+
+impl MoveController {
+    /// Makes the controller from the one writer of the moves entry. The seed makes the nonces of
+    /// writes differ from those of other hosts and earlier runs.
+    #[must_use]
+    pub fn new(writer: Writer<MoveTable>, seed: u64) -> Self {
+        Self {
+            writer,
+            moves: BTreeMap::new(),
+            finished: BTreeMap::new(),
+            bundle: BundleVersion::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            published: (Vec::new(), Vec::new()),
+            published_ns: MonoNs(0),
+        }
+    }
+
+    /// Starts the moves that are new in the bundle and drops those that were withdrawn.
+    fn take_bundle(&mut self, board: &Blackboard, now: Now) {
+        let bundle = board.bundle.read_owned();
+        let Some(bundle) = bundle.value.as_ref().filter(|b| b.version > self.bundle) else {
+            return;
+        };
+        self.bundle = bundle.version;
+        let wanted = |name: &Name| bundle.services.get(name)?.version_move.as_ref();
+        let is_gone = |name: &Name, known: &mut ServiceMove| {
+            wanted(name).is_none_or(|params| params.id != known.params.id)
+        };
+        for (_, gone) in self.moves.extract_if(.., is_gone) {
+            let verdict = gone.verdict().filter(|verdict| verdict.state.is_final());
+            if let Some(verdict) = verdict {
+                self.finished.insert(verdict.move_id.clone(), verdict);
+            }
+        }
+        while self.finished.len() > MAX_FINISHED {
+            self.finished.pop_first();
+        }
+        for (name, service) in &bundle.services {
+            let Some(params) = &service.version_move else {
+                continue;
+            };
+            let known = self
+                .moves
+                .entry(name.clone())
+                .or_insert_with(|| ServiceMove::new(name.clone(), params.clone()));
+            known.params = params.clone();
+            if let Some(verdict) = self.finished.get(&params.id) {
+                known.hear(verdict.state, verdict.share_permille, verdict.step, now);
+            }
+        }
+    }
+
+    fn move_mut(&mut self, move_id: &Name) -> Option<&mut ServiceMove> {
+        self.moves.values_mut().find(|m| m.params.id == *move_id)
+    }
+
+    fn tick(&mut self, board: &Blackboard, now: Now, out: &mut Vec<MoveEffect>) {
+        self.take_bundle(board, now);
+        for service_move in self.moves.values_mut() {
+            service_move.tick(board, now, self.random.random(), out);
+        }
+    }
+
+    fn publish(&mut self, board: &Blackboard, now: Now, out: &mut Vec<MoveEffect>) {
+        let entries = self.moves.iter().map(|(name, m)| (name.clone(), m.entry()));
+        self.writer.publish_if_changed(MoveTable {
+            services: entries.collect(),
+        });
+        let verdicts: Vec<_> = self
+            .moves
+            .values()
+            .filter_map(ServiceMove::verdict)
+            .collect();
+        let is_due = now.mono_ns >= self.published_ns.plus_ms(PUBLISH_MS);
+        if verdicts == self.published.1 && !is_due {
+            return;
+        }
+        let open = self.moves.values().filter(|m| !m.state().is_final());
+        let counters = open.filter_map(|m| counters(board, &m.service, &m.params.id));
+        let evidence = counters
+            .flat_map(|counters| own_evidence(&counters))
+            .collect();
+        let news = (evidence, verdicts);
+        if news != self.published {
+            self.published.clone_from(&news);
+            self.published_ns = now.mono_ns;
+            let (evidence, verdicts) = news;
+            out.push(MoveEffect::Publish { evidence, verdicts });
+        }
+    }
+}
+
+impl Controller for MoveController {
+    type Event = MoveEvent;
+    type Effect = MoveEffect;
+
+    fn step(&mut self, board: &Blackboard, event: MoveEvent, now: Now) -> Vec<MoveEffect> {
+        let mut out = Vec::new();
+        match event {
+            MoveEvent::Tick => self.tick(board, now, &mut out),
+            MoveEvent::RowRead { move_id, row } => {
+                if let Some(known) = self.move_mut(&move_id) {
+                    known.row_read(row, now);
+                }
+            }
+            MoveEvent::RowWritten {
+                move_id,
+                nonce,
+                outcome,
+            } => {
+                if let Some(known) = self.move_mut(&move_id) {
+                    known.row_written(board, nonce, outcome, now, &mut out);
+                }
+            }
+            MoveEvent::ReportWritten {
+                move_id,
+                state,
+                outcome,
+            } => {
+                if let Some(known) = self.move_mut(&move_id) {
+                    known.report_written(state, outcome);
+                }
+            }
+            MoveEvent::BrakeReported { move_id, from } => {
+                if let Some(known) = self.move_mut(&move_id) {
+                    known.brake_reported(board, &from, now, &mut out);
+                }
+            }
+        }
+        self.publish(board, now, &mut out);
+        out
+    }
+}
