--- a/crates/blackboard/src/counters.rs
+++ b/crates/blackboard/src/counters.rs
@@ -70,8 +70,12 @@
     }
 }
 
+/// Retry credit of a service that was not used before, in thousandths: two retries, so that the
+/// first requests are not refused for one target that is down.
+const RETRY_CREDIT_START_PERMILLE: u64 = 2_000;
+
 /// Counters of one service on one host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServiceCounters {
     /// Whole answers passed on.
     pub successes: AtomicU64,
@@ -87,6 +91,19 @@
     pub service_time_ns: AtomicU64,
 }
 
+impl Default for ServiceCounters {
+    fn default() -> Self {
+        Self {
+            successes: AtomicU64::new(0),
+            refusals: AtomicU64::new(0),
+            retries: AtomicU64::new(0),
+            waiting: AtomicU64::new(0),
+            retry_credit_permille: AtomicU64::new(RETRY_CREDIT_START_PERMILLE),
+            service_time_ns: AtomicU64::new(0),
+        }
+    }
+}
+
 /// Counters of one host.
 #[derive(Debug, Default)]
 pub struct Counters {
--- a/crates/blackboard/src/routing.rs
+++ b/crates/blackboard/src/routing.rs
@@ -2,8 +2,8 @@
 
 use crate::{MoveCounters, ServiceCounters, TargetCell};
 use heatherhinge_bundle::{BundleVersion, Service};
-use heatherhinge_types::Name;
-use std::collections::BTreeMap;
+use heatherhinge_types::{Name, Partition};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// The versions of the entries that a routing snapshot was made from, for decision records.
@@ -54,6 +54,9 @@
     pub warm: Vec<Arc<TargetCell>>,
     /// Targets that are not warm and whose allowance this host may use as their owner.
     pub cold: Vec<ColdTarget>,
+    /// Partitions of the targets that are not warm and that other hosts own. A host that has no
+    /// target of its own passes requests to one of these owners.
+    pub elsewhere: BTreeSet<Partition>,
 }
 
 /// A target that is not warm.
--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -24,6 +24,10 @@
 pub const READ_INTERVAL_MS: u64 = 1_000;
 const READ_INTERVAL_PER_ROW_MS: u64 = 20;
 
+/// Shortest time between two reads when a reader found the entry out of date. Requests with a key
+/// wait for this read, and doubts come only with a change of owners.
+const DOUBTED_READ_INTERVAL_MS: u64 = 200;
+
 /// Pause after the store could not be reached.
 const STORE_BACKOFF_MS: u64 = 1_000;
 
@@ -251,7 +255,7 @@
         let rows = self.rows.hosts.len() + self.rows.partitions.len();
         let rows = u64::try_from(rows).unwrap_or(u64::MAX);
         let interval_ms = match self.is_doubted {
-            true => READ_INTERVAL_MS,
+            true => DOUBTED_READ_INTERVAL_MS,
             false => READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS)),
         };
         let is_due = self.is_in_doubt
--- a/crates/controllers/src/targets.rs
+++ b/crates/controllers/src/targets.rs
@@ -9,8 +9,8 @@
     ServiceTargets, TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
 };
 use heatherhinge_bundle::Service;
-use heatherhinge_types::{Name, Now};
-use std::collections::BTreeMap;
+use heatherhinge_types::{Name, Now, Partition};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -173,6 +173,7 @@
             share_permille,
             warm: Vec::new(),
             cold: Vec::new(),
+            elsewhere: BTreeSet::new(),
         };
         for target in &self.listed {
             let is_usable = target.service == service.name
@@ -184,16 +185,18 @@
                 continue;
             };
             match warmth.get(&cell.id) {
-                Warmth::Warm { start_id } if cell.start_id().is_none_or(|id| id == start_id) => {
-                    pool.warm.push(Arc::clone(cell));
-                }
+                // The cell may know an earlier or a later run than the one announced. The warmup
+                // controller hears of every new run, so its word decides.
+                Warmth::Warm { .. } => pool.warm.push(Arc::clone(cell)),
                 Warmth::Owned { allowance } => {
                     pool.cold.push(ColdTarget {
                         cell: Arc::clone(cell),
                         allowance,
                     });
                 }
-                Warmth::Warm { .. } | Warmth::NotOwned => {}
+                Warmth::NotOwned => {
+                    pool.elsewhere.insert(Partition::of_name(&cell.id));
+                }
             }
         }
         pool
--- /dev/null
+++ b/crates/entryd/src/admin.rs
@@ -0,0 +1,368 @@
+//! The endpoints for callers that look for hosts, and for operators; `docs/design.md`, section 20.
+
+use crate::bundle_store::{BundleStore, VerifiedBundle};
+use crate::draft::{phase_name, spend};
+use crate::event::{EventSender, HostEvent};
+use crate::move_store::MoveStore;
+use crate::record_keeper::RecordKeeper;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, Path, Query, State};
+use axum::http::StatusCode;
+use axum::response::{IntoResponse, Response};
+use axum::routing::get;
+use axum::{Json, Router};
+use heatherhinge_blackboard::{Blackboard, ZonePhase};
+use heatherhinge_bundle::Bundle;
+use heatherhinge_controllers::{AddressAnswer, AddressBook, BundleEvent};
+use heatherhinge_platform::PlatformError;
+use heatherhinge_proxy::Clock;
+use heatherhinge_records::admin::{
+    Accepted, BundleAccepted, ExplainAnswer, HostLine, MoveLine, MoveReport, Refusal, ReportAnswer,
+    StatusAnswer, ZoneLine,
+};
+use heatherhinge_records::{Record, RecordBasis, RecordEvent, RecordSink, Subject};
+use heatherhinge_types::{Code, Name, header};
+use serde::Deserialize;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicU64, Ordering};
+
+/// Largest envelope that is read: 350 KB of text and its JSON escapes.
+const ENVELOPE_BODY_BYTES: usize = 1_024 * 1_024;
+
+/// What the endpoints work on.
+#[derive(Debug)]
+pub(crate) struct Admin<S> {
+    pub(crate) board: Arc<Blackboard>,
+    pub(crate) clock: Clock,
+    pub(crate) bundles: Arc<BundleStore>,
+    pub(crate) moves: Arc<MoveStore>,
+    pub(crate) keeper: Arc<RecordKeeper>,
+    pub(crate) records: S,
+    pub(crate) events: EventSender,
+    pub(crate) seed: AtomicU64,
+}
+
+/// A refusal with the problems that led to it.
+#[derive(Debug)]
+struct Refused {
+    code: Code,
+    problems: Vec<String>,
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Self {
+        Self {
+            code,
+            problems: Vec::new(),
+        }
+    }
+}
+
+impl IntoResponse for Refused {
+    fn into_response(self) -> Response {
+        let body = Refusal {
+            problems: self.problems,
+            ..Refusal::new(self.code, None)
+        };
+        let headers = [(header::CODE, self.code.number().to_string())];
+        (self.code.status(), headers, Json(body)).into_response()
+    }
+}
+
+#[derive(Debug, Deserialize)]
+struct AddressQuery {
+    zone: Option<String>,
+}
+
+impl<S: RecordSink> Admin<S> {
+    /// Makes the router of all endpoints.
+    pub(crate) fn router(self) -> Router {
+        Router::new()
+            .route("/heatherhinge/v1/addresses", get(addresses::<S>))
+            .route("/heatherhinge/v1/status", get(status::<S>))
+            .route("/heatherhinge/v1/report", get(report::<S>))
+            .route(
+                "/heatherhinge/v1/bundle",
+                get(bundle::<S>).post(submit::<S>),
+            )
+            .route(
+                "/heatherhinge/v1/explain/request/{id}",
+                get(explain_request::<S>),
+            )
+            .route("/heatherhinge/v1/explain/move/{id}", get(explain_move::<S>))
+            .layer(DefaultBodyLimit::max(ENVELOPE_BODY_BYTES))
+            .with_state(Arc::new(self))
+    }
+
+    fn record(&self, event: RecordEvent) {
+        let bundle = self
+            .bundles
+            .newest()
+            .map_or(0, |newest| newest.bundle.version.0);
+        self.records.record(Record {
+            at_wall_ms: self.clock.now().wall_ms,
+            host: self.board.host.clone(),
+            subject: Subject::Bundle,
+            basis: RecordBasis {
+                bundle,
+                ..RecordBasis::default()
+            },
+            event,
+        });
+    }
+
+    /// Checks a submitted envelope against the bundle that the store holds as accepted.
+    async fn check(&self, json: &[u8]) -> Result<VerifiedBundle, Refused> {
+        self.catch_up().await?;
+        let envelope = self.bundles.verify_new(json)?;
+        let file = Name::from("bundle");
+        let now_wall_ms = self.clock.now().wall_ms;
+        let parsed = match self.bundles.newest() {
+            Some(newest) => {
+                Bundle::parse_successor(&file, &envelope.text, now_wall_ms, &newest.bundle)
+            }
+            None => Bundle::parse(&file, &envelope.text, now_wall_ms),
+        };
+        let bundle = parsed.map_err(|problems| Refused {
+            code: Code::BundleMalformed,
+            problems: problems.iter().map(ToString::to_string).collect(),
+        })?;
+        let accepted = self
+            .bundles
+            .newest()
+            .map_or(0, |newest| newest.bundle.version.0);
+        if bundle.version.0 != accepted + 1 {
+            let is_late = bundle.version.0 <= accepted;
+            let code = if is_late {
+                Code::BundleConflict
+            } else {
+                Code::BundleVersion
+            };
+            return Err(code.into());
+        }
+        let digest = envelope.digest();
+        Ok(VerifiedBundle {
+            envelope,
+            bundle: Arc::new(bundle),
+            digest,
+        })
+    }
+
+    /// Takes the accepted bundle from the store, so that a host that lags does not refuse a bundle
+    /// that follows.
+    async fn catch_up(&self) -> Result<(), Refused> {
+        let row = self
+            .bundles
+            .read_current()
+            .await
+            .map_err(|error| error.code())?;
+        let Some(row) = row else { return Ok(()) };
+        if self
+            .bundles
+            .newest()
+            .is_some_and(|newest| newest.bundle.version >= row.version)
+        {
+            return Ok(());
+        }
+        let json = self
+            .bundles
+            .read_envelope(row.version.0)
+            .await
+            .map_err(|e| e.code())?;
+        self.bundles.take_accepted(&json)?;
+        Ok(())
+    }
+
+    async fn accept(&self, json: &[u8]) -> Result<BundleAccepted, Refused> {
+        let verified = Arc::new(self.check(json).await?);
+        let version = verified.bundle.version.0;
+        let nonce = format!("{}-{}", self.board.host, verified.digest);
+        match self.bundles.accept(&verified, nonce).await {
+            Ok(()) => {}
+            Err(PlatformError::Conflict) => return Err(Code::BundleConflict.into()),
+            Err(PlatformError::OutcomeUnknown) => return Err(Code::BundleOutcomeUnknown.into()),
+            Err(error) => return Err(error.code().into()),
+        }
+        let bundle = Arc::clone(&verified.bundle);
+        let event = BundleEvent::Fetched {
+            bundle,
+            digest: verified.digest,
+        };
+        self.events.send(HostEvent::Bundle(event));
+        Ok(BundleAccepted {
+            outcome: Accepted::Accepted,
+            version,
+        })
+    }
+
+    /// Takes a bundle that was accepted elsewhere and is pushed here by the command line. Only the
+    /// envelope that the store holds as accepted is taken, or any newer one than this host's while
+    /// the store cannot be asked is refused.
+    fn is_in_force(&self, json: &[u8]) -> Option<BundleAccepted> {
+        let envelope = heatherhinge_bundle::Envelope::from_json(json).ok()?;
+        let newest = self.bundles.newest()?;
+        (newest.digest == envelope.digest()).then(|| BundleAccepted {
+            outcome: Accepted::Accepted,
+            version: newest.bundle.version.0,
+        })
+    }
+}
+
+async fn addresses<S: RecordSink>(
+    State(admin): State<Arc<Admin<S>>>,
+    Query(query): Query<AddressQuery>,
+) -> Json<AddressAnswer> {
+    let (hosts, zones, owners) = (
+        admin.board.hosts.read(),
+        admin.board.zones.read(),
+        admin.board.owners.read(),
+    );
+    let book = AddressBook {
+        hosts: &hosts.value,
+        zones: &zones.value,
+        owners: &owners.value,
+    };
+    let zone = query.zone.as_deref().map(Name::from);
+    let seed = admin.seed.fetch_add(1, Ordering::Relaxed);
+    Json(book.answer(zone.as_ref(), seed, admin.clock.now().wall_ms))
+}
+
+async fn status<S: RecordSink>(State(admin): State<Arc<Admin<S>>>) -> Json<StatusAnswer> {
+    let board = &admin.board;
+    let now = admin.clock.now();
+    let (hosts, zones, moves) = (board.hosts.read(), board.zones.read(), board.moves.read());
+    let newest = admin.bundles.newest();
+    let in_force = board
+        .bundle
+        .read()
+        .value
+        .as_ref()
+        .map_or(0, |bundle| bundle.version.0);
+    let digest = newest.filter(|newest| newest.bundle.version.0 == in_force);
+    Json(StatusAnswer {
+        host: board.host.clone(),
+        zone: board.zone.clone(),
+        phase: phase_name(board.counters.status.phase()),
+        is_fresh: board.counters.status.is_fresh(now.mono_ns),
+        bundle_version: in_force,
+        bundle_digest: Name::from(digest.map_or(String::new(), |d| d.digest.to_string())),
+        hosts: hosts
+            .value
+            .hosts
+            .values()
+            .map(|entry| HostLine {
+                host: entry.record.host.clone(),
+                zone: entry.record.zone.clone(),
+                caller_addr: Some(entry.record.caller_addr),
+                live: entry.is_live,
+                bundle_version: entry.record.bundle_version.0,
+                takes_callers: entry.record.takes_callers,
+            })
+            .collect(),
+        moves: moves
+            .value
+            .services
+            .iter()
+            .map(|(service, entry)| MoveLine {
+                service: service.clone(),
+                id: entry.id.clone(),
+                state: entry.state,
+                share_permille: entry.share_permille,
+            })
+            .collect(),
+        zones: zones
+            .value
+            .zones
+            .iter()
+            .map(|(zone, entry)| ZoneLine {
+                zone: zone.clone(),
+                phase: zone_name(entry.phase),
+            })
+            .collect(),
+        partitions_owned: u32::try_from(board.owners.read().value.count(&board.host))
+            .unwrap_or(u32::MAX),
+        spend: spend(board),
+    })
+}
+
+async fn report<S: RecordSink>(
+    State(admin): State<Arc<Admin<S>>>,
+) -> Result<Json<ReportAnswer>, Refused> {
+    let reports = admin.moves.reports().await.map_err(|error| error.code())?;
+    let moves = reports.into_iter().map(|report| MoveReport {
+        service: report.service,
+        move_id: report.move_id,
+        state: report.state,
+        at_wall_ms: report.at_wall_ms,
+        evidence: report.reason.to_string(),
+    });
+    Ok(Json(ReportAnswer {
+        moves: moves.collect(),
+    }))
+}
+
+async fn bundle<S: RecordSink>(State(admin): State<Arc<Admin<S>>>) -> Result<Response, Refused> {
+    let newest = admin.bundles.newest().ok_or(Code::NoBundle)?;
+    let json = newest.envelope.to_json()?;
+    Ok((StatusCode::OK, [("content-type", "application/json")], json).into_response())
+}
+
+async fn submit<S: RecordSink>(
+    State(admin): State<Arc<Admin<S>>>,
+    body: Bytes,
+) -> Result<Json<BundleAccepted>, Refused> {
+    if let Some(accepted) = admin.is_in_force(&body) {
+        return Ok(Json(accepted));
+    }
+    match admin.accept(&body).await {
+        Ok(accepted) => Ok(Json(accepted)),
+        // The submission may be a push of what another host has just accepted.
+        Err(refused) if refused.code == Code::BundleConflict => match admin.is_in_force(&body) {
+            Some(accepted) => Ok(Json(accepted)),
+            None => Err(admin.refuse(&body, refused)),
+        },
+        Err(refused) => Err(admin.refuse(&body, refused)),
+    }
+}
+
+impl<S: RecordSink> Admin<S> {
+    fn refuse(&self, json: &[u8], refused: Refused) -> Refused {
+        let key_id = heatherhinge_bundle::Envelope::from_json(json).map(|e| e.key_id);
+        let key_id = key_id.unwrap_or_else(|_| Name::from("unknown"));
+        tracing::warn!(
+            "bundle: a submission signed with key {key_id} was refused: {}",
+            refused.code
+        );
+        self.record(RecordEvent::BundleRefused {
+            code: refused.code.number(),
+            key_id,
+        });
+        refused
+    }
+}
+
+async fn explain_request<S: RecordSink>(
+    State(admin): State<Arc<Admin<S>>>,
+    Path(id): Path<String>,
+) -> Json<ExplainAnswer> {
+    Json(ExplainAnswer {
+        records: admin.keeper.find(&Subject::Request(Name::from(id))),
+    })
+}
+
+async fn explain_move<S: RecordSink>(
+    State(admin): State<Arc<Admin<S>>>,
+    Path(id): Path<String>,
+) -> Json<ExplainAnswer> {
+    Json(ExplainAnswer {
+        records: admin.keeper.find(&Subject::Move(Name::from(id))),
+    })
+}
+
+fn zone_name(phase: ZonePhase) -> Name {
+    Name::from(match phase {
+        ZonePhase::In => "in",
+        ZonePhase::Out => "out",
+        ZonePhase::Returning => "returning",
+    })
+}
--- /dev/null
+++ b/crates/entryd/src/bundle_store.rs
@@ -0,0 +1,172 @@
+//! The envelope of the bundle in force, and the rows that hold accepted bundles.
+
+use arc_swap::ArcSwapOption;
+use bytes::Bytes;
+use heatherhinge_bundle::{Bundle, BundleVersion, Envelope, TrustedKeys};
+use heatherhinge_controllers::CurrentRow;
+use heatherhinge_platform::{
+    Attribute, Condition, Item, PlatformError, Table, TableClient, Write, write_once,
+};
+use heatherhinge_types::{Code, Digest, Name};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// Key of the row that names the accepted bundle.
+const CURRENT_KEY: &str = "bundle#current";
+/// Attribute with the digest of the envelope.
+const DIGEST: &str = "digest";
+
+/// An envelope that was verified, with the bundle that it holds.
+#[derive(Debug)]
+pub(crate) struct VerifiedBundle {
+    pub(crate) envelope: Envelope,
+    pub(crate) bundle: Arc<Bundle>,
+    pub(crate) digest: Digest,
+}
+
+/// Reads and writes accepted bundles, and keeps the newest envelope for peers.
+#[derive(Debug)]
+pub(crate) struct BundleStore {
+    table: TableClient,
+    trusted: TrustedKeys,
+    newest: ArcSwapOption<VerifiedBundle>,
+}
+
+impl BundleStore {
+    pub(crate) fn new(table: TableClient, trusted: TrustedKeys) -> Self {
+        Self {
+            table,
+            trusted,
+            newest: ArcSwapOption::empty(),
+        }
+    }
+
+    /// Returns the newest bundle that was verified here.
+    pub(crate) fn newest(&self) -> Option<Arc<VerifiedBundle>> {
+        self.newest.load_full()
+    }
+
+    /// Returns the envelope of at least this version for a peer.
+    pub(crate) fn envelope_json(&self, version: u64) -> Option<Vec<u8>> {
+        let newest = self
+            .newest()
+            .filter(|newest| newest.bundle.version.0 >= version)?;
+        newest.envelope.to_json().ok().map(String::into_bytes)
+    }
+
+    /// Verifies an envelope that was accepted before and keeps it if it is the newest.
+    ///
+    /// # Errors
+    ///
+    /// Codes of the family 21xx.
+    pub(crate) fn take_accepted(&self, json: &[u8]) -> Result<Arc<VerifiedBundle>, Code> {
+        let envelope = Envelope::from_json(json)?;
+        // A key that was revoked later does not undo the acceptance of an earlier bundle.
+        let text = envelope.verify(&self.trusted, &BTreeSet::new())?;
+        let file = Name::from("accepted bundle");
+        let bundle = Bundle::parse_accepted(&file, text).map_err(|_| Code::BundleMalformed)?;
+        let digest = envelope.digest();
+        let verified = Arc::new(VerifiedBundle {
+            envelope,
+            bundle: Arc::new(bundle),
+            digest,
+        });
+        self.keep(&verified);
+        Ok(verified)
+    }
+
+    /// Verifies an envelope that is submitted now.
+    ///
+    /// # Errors
+    ///
+    /// Codes 2103 to 2106.
+    pub(crate) fn verify_new(&self, json: &[u8]) -> Result<Envelope, Code> {
+        let envelope = Envelope::from_json(json)?;
+        let newest = self.newest();
+        let none = BTreeSet::new();
+        let revoked = newest
+            .as_ref()
+            .map_or(&none, |newest| &newest.bundle.revoked_keys);
+        envelope.verify(&self.trusted, revoked)?;
+        Ok(envelope)
+    }
+
+    /// Reads the row of the accepted bundle.
+    pub(crate) async fn read_current(&self) -> Result<Option<CurrentRow>, PlatformError> {
+        let Some(item) = self.table.get(CURRENT_KEY).await? else {
+            return Ok(None);
+        };
+        let digest = item
+            .text(DIGEST)
+            .and_then(Digest::from_hex)
+            .ok_or_else(|| PlatformError::Malformed("bundle#current has no digest".to_owned()))?;
+        Ok(Some(CurrentRow {
+            version: BundleVersion(item.version),
+            digest,
+        }))
+    }
+
+    /// Reads the envelope of an accepted version.
+    pub(crate) async fn read_envelope(&self, version: u64) -> Result<Bytes, PlatformError> {
+        let item = self.table.get(&envelope_key(version)).await?;
+        item.map(|item| item.body).ok_or(PlatformError::Conflict)
+    }
+
+    /// Accepts a bundle: one transaction that takes effect only if it follows the accepted one.
+    pub(crate) async fn accept(
+        &self,
+        verified: &Arc<VerifiedBundle>,
+        nonce: String,
+    ) -> Result<(), PlatformError> {
+        let version = verified.bundle.version.0;
+        let json = verified
+            .envelope
+            .to_json()
+            .map_err(|code| PlatformError::Malformed(code.to_string()))?;
+        let digest = Attribute::Text(verified.digest.to_string());
+        let current = Item {
+            pk: CURRENT_KEY.to_owned(),
+            version,
+            nonce: nonce.clone(),
+            body: Bytes::new(),
+            attributes: BTreeMap::from([(DIGEST.to_owned(), digest)]),
+        };
+        let envelope = Item {
+            pk: envelope_key(version),
+            version,
+            nonce,
+            body: json.into(),
+            attributes: BTreeMap::new(),
+        };
+        let is_first = version == 1;
+        let condition = if is_first {
+            Condition::NotExists
+        } else {
+            Condition::Version(version - 1)
+        };
+        let writes = [
+            Write::Put {
+                item: current,
+                condition,
+            },
+            Write::Put {
+                item: envelope,
+                condition: Condition::NotExists,
+            },
+        ];
+        write_once(&self.table, &writes).await?;
+        self.keep(verified);
+        Ok(())
+    }
+
+    fn keep(&self, verified: &Arc<VerifiedBundle>) {
+        self.newest.rcu(|newest| match newest {
+            Some(kept) if kept.bundle.version >= verified.bundle.version => Some(Arc::clone(kept)),
+            _ => Some(Arc::clone(verified)),
+        });
+    }
+}
+
+fn envelope_key(version: u64) -> String {
+    format!("bundle#{version}")
+}
--- /dev/null
+++ b/crates/entryd/src/claim_desk.rs
@@ -0,0 +1,101 @@
+//! Decides claims for the partitions that this host owns.
+
+use heatherhinge_blackboard::Blackboard;
+use heatherhinge_claims::{
+    ClaimAnswer, ClaimLimits, ClaimRequest, ClaimTable, HandedPartition, SettleAnswer, Settlement,
+    Tenure, TenureId,
+};
+use heatherhinge_controllers::HandOver;
+use heatherhinge_proxy::Clock;
+use heatherhinge_types::{Partition, WallMs};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+/// Bounds of the claims on one host: 100,000 claims are about 30 MB, half of the memory that
+/// control may take, and last for 330 bookings a second on one host.
+const CLAIM_LIMITS: ClaimLimits = ClaimLimits {
+    max_claims: 100_000,
+    max_stored_bytes: 16 * 1_024 * 1_024,
+};
+
+/// The claims table of this host with the clock and the owners entry that it decides by.
+///
+/// The lock is taken only for requests with a key, and held for one look-up.
+#[derive(Debug)]
+pub(crate) struct ClaimDesk {
+    board: Arc<Blackboard>,
+    clock: Clock,
+    table: Mutex<ClaimTable>,
+}
+
+impl ClaimDesk {
+    pub(crate) fn new(board: Arc<Blackboard>, clock: Clock) -> Self {
+        Self {
+            board,
+            clock,
+            table: Mutex::new(ClaimTable::new(CLAIM_LIMITS)),
+        }
+    }
+
+    /// Decides a claim.
+    pub(crate) fn claim(&self, request: &ClaimRequest) -> ClaimAnswer {
+        let mut table = self.lock();
+        let Some(tenure) = self.tenure(request.key.partition()) else {
+            return ClaimAnswer::NotOwner;
+        };
+        // Read after the tenure: an older reading could outlive the lease.
+        let now = self.clock.now();
+        table.claim(request, &tenure, now)
+    }
+
+    /// Takes in how a claimed request ended.
+    pub(crate) fn settle(&self, settlement: Settlement) -> SettleAnswer {
+        let now = self.clock.now();
+        self.lock().settle(settlement, now)
+    }
+
+    /// Closes a tenure of this host and returns its claims for the next owner.
+    pub(crate) fn hand_over(&self, part: &HandOver) -> HandedPartition {
+        self.lock()
+            .hand_over(part.partition, part.giver.clone(), part.has_earlier_claims)
+    }
+
+    /// Keeps claims that another host hands over until the tenure that follows begins.
+    pub(crate) fn take_over(&self, handed: HandedPartition) -> bool {
+        self.lock().take_over(handed)
+    }
+
+    /// Adopts the claims handed over by `giver` for the tenure that begins now.
+    pub(crate) fn adopt(
+        &self,
+        partition: Partition,
+        giver: &TenureId,
+        from_wall_ms: WallMs,
+    ) -> bool {
+        let now = self.clock.now();
+        self.lock().adopt(partition, giver, from_wall_ms, now)
+    }
+
+    /// Forgets claims whose keys can no longer be used.
+    pub(crate) fn expire(&self) {
+        let now = self.clock.now();
+        self.lock().expire(now);
+    }
+
+    fn tenure(&self, partition: Partition) -> Option<Tenure> {
+        let owners = self.board.owners.read();
+        let owner = owners.value.owner(partition)?;
+        if owner.host != self.board.host {
+            return None;
+        }
+        Some(Tenure {
+            lease_until_wall_ms: owners.value.own_lease_until_wall_ms,
+            lease_until_ns: owners.value.own_lease_until_ns,
+            from_wall_ms: owner.from_wall_ms,
+            has_earlier_claims: owner.has_earlier_claims,
+        })
+    }
+
+    fn lock(&self) -> MutexGuard<'_, ClaimTable> {
+        self.table.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/conductor.rs
@@ -0,0 +1,407 @@
+//! Steps the controllers and carries out what they ask for.
+//!
+//! The controllers meet only on the blackboard. The conductor gives each one its events and the
+//! time, spawns the input and output that it asks for, and feeds the outcome back as an event.
+
+use crate::bundle_store::BundleStore;
+use crate::claim_desk::ClaimDesk;
+use crate::draft::RecordDraft;
+use crate::event::{EventReceiver, EventSender, HostEvent};
+use crate::io::Io;
+use crate::reports::PendingReports;
+use heatherhinge_blackboard::{Blackboard, Writers};
+use heatherhinge_controllers::{
+    BundleController, BundleEffect, BundleEvent, Controller, DrainController, DrainEffect,
+    DrainEvent, DrainLimits, HostIdentity, ListedHost, ListedTarget, MembershipController,
+    MembershipEffect, MembershipEvent, MembershipSettings, MoveController, MoveEffect, MoveEvent,
+    OwnershipController, OwnershipEffect, OwnershipEvent, PeerContact, QuarantineController,
+    QuarantineEffect, QuarantineEvent, TargetController, TargetEvent, WarmupController,
+    WarmupEffect, WarmupEvent, ZoneController, ZoneEffect, ZoneEvent,
+};
+use heatherhinge_platform::Listing;
+use heatherhinge_proxy::Clock;
+use heatherhinge_records::{Record, RecordBasis, RecordEvent, RecordSink, Subject};
+use heatherhinge_types::Now;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::sync::oneshot;
+use tokio::time::{MissedTickBehavior, interval};
+
+/// Time between two ticks. The shortest need is that of the warmup controller, 250 ms.
+const TICK: Duration = Duration::from_millis(100);
+
+/// What the conductor is made of.
+pub(crate) struct ConductorParts<S> {
+    pub(crate) board: Arc<Blackboard>,
+    pub(crate) writers: Writers,
+    pub(crate) clock: Clock,
+    pub(crate) events: EventSender,
+    pub(crate) claims: Arc<ClaimDesk>,
+    pub(crate) bundles: Arc<BundleStore>,
+    pub(crate) io: Io,
+    pub(crate) records: S,
+    pub(crate) draft: RecordDraft,
+    pub(crate) identity: HostIdentity,
+    pub(crate) membership: MembershipSettings,
+    pub(crate) drain: DrainLimits,
+    pub(crate) seed: u64,
+}
+
+/// Tells the host what the conductor cannot do itself.
+#[derive(Debug)]
+pub(crate) struct Signals {
+    /// Sent once when the listener for callers is to be closed.
+    pub(crate) close_listener: Option<oneshot::Sender<()>>,
+    /// Sent once when the process may exit.
+    pub(crate) exit: Option<oneshot::Sender<()>>,
+}
+
+/// Owns all controllers of a host.
+pub(crate) struct Conductor<S> {
+    board: Arc<Blackboard>,
+    clock: Clock,
+    events: EventSender,
+    claims: Arc<ClaimDesk>,
+    io: Io,
+    records: S,
+    draft: RecordDraft,
+    reports: PendingReports,
+    signals: Signals,
+    membership: MembershipController,
+    bundle: BundleController,
+    ownership: OwnershipController,
+    zones: ZoneController,
+    warmup: WarmupController,
+    quarantine: QuarantineController,
+    moves: MoveController,
+    targets: TargetController,
+    drain: DrainController,
+    bundle_seen: u64,
+}
+
+impl<S: RecordSink> Conductor<S> {
+    /// Makes the controllers, each with the writer of its entry.
+    pub(crate) fn new(parts: ConductorParts<S>, signals: Signals) -> Self {
+        let ConductorParts {
+            board,
+            writers,
+            clock,
+            events,
+            claims,
+            bundles,
+            io,
+            ..
+        } = parts;
+        let now = clock.now();
+        let seeds = parts.membership.seed_peers.clone();
+        Self {
+            membership: MembershipController::new(writers.hosts, parts.membership),
+            bundle: BundleController::new(writers.bundle, seeds),
+            ownership: OwnershipController::new(writers.owners, parts.identity, now),
+            zones: ZoneController::new(writers.zones),
+            warmup: WarmupController::new(writers.warmth),
+            quarantine: QuarantineController::new(writers.quarantine),
+            moves: MoveController::new(writers.moves, parts.seed),
+            targets: TargetController::new(writers.routing),
+            drain: DrainController::new(parts.drain),
+            reports: PendingReports::default(),
+            draft: parts.draft,
+            records: parts.records,
+            board,
+            clock,
+            events,
+            claims,
+            io: Io { bundles, ..io },
+            signals,
+            bundle_seen: 0,
+        }
+    }
+
+    /// Runs until the host stops.
+    pub(crate) async fn run(mut self, mut receiver: EventReceiver) {
+        let mut ticks = interval(TICK);
+        ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        while self.signals.exit.is_some() {
+            tokio::select! {
+                event = receiver.recv() => match event {
+                    Some(event) => self.handle(event),
+                    None => return,
+                },
+                _ = ticks.tick() => self.tick(),
+            }
+            self.follow();
+        }
+    }
+
+    fn handle(&mut self, event: HostEvent) {
+        match event {
+            HostEvent::Listed(listing) => self.listed(&listing),
+            HostEvent::Warmup(event) => self.step_warmup(event),
+            HostEvent::Quarantine(event) => self.step_quarantine(event),
+            HostEvent::Crashed { report, done } => {
+                let id = self.reports.add_own(done);
+                self.step_quarantine(QuarantineEvent::Crashed { id, report });
+            }
+            HostEvent::PeerCrashed { report, answer } => {
+                let event = self.reports.add_peer(report, answer);
+                self.step_quarantine(event);
+            }
+            HostEvent::HoldBack { quarantine, done } => {
+                self.step_quarantine(QuarantineEvent::PeerQuarantined(quarantine));
+                done.send(()).ok();
+            }
+            HostEvent::ExchangeAsked { request, answer } => {
+                self.step_membership(MembershipEvent::Asked(request), Some(answer));
+            }
+            HostEvent::Exchanged { ticket, answer } => {
+                if let Some(contact) = PeerContact::from_answer(&ticket, &answer) {
+                    self.step_bundle(BundleEvent::PeerHas(contact));
+                }
+                self.step_membership(MembershipEvent::Answered { ticket, answer }, None);
+            }
+            HostEvent::Bundle(event) => self.step_bundle(event),
+            HostEvent::Ownership(event) => self.step_ownership(event),
+            HostEvent::Moves(event) => self.step_moves(event),
+            HostEvent::Drain(event) => self.step_drain(event),
+        }
+    }
+
+    fn tick(&mut self) {
+        self.step_bundle(BundleEvent::Tick);
+        self.publish_draft();
+        self.step_membership(MembershipEvent::Tick, None);
+        self.step_ownership(OwnershipEvent::Tick);
+        self.step_zones();
+        self.step_warmup(WarmupEvent::Tick);
+        self.step_quarantine(QuarantineEvent::Tick);
+        self.step_moves(MoveEvent::Tick);
+        self.step_drain(DrainEvent::Tick);
+        self.claims.expire();
+    }
+
+    /// Lets a change of the bundle reach the other controllers at once, and the data path after
+    /// any change.
+    fn follow(&mut self) {
+        let bundle = self.board.bundle.read().version;
+        if bundle != self.bundle_seen {
+            self.bundle_seen = bundle;
+            self.step_zones();
+            self.step_moves(MoveEvent::Tick);
+            self.step_warmup(WarmupEvent::Tick);
+            self.step_drain(DrainEvent::Ready);
+        }
+        let now = self.now();
+        self.targets.step(&self.board, TargetEvent::Tick, now);
+    }
+
+    fn now(&self) -> Now {
+        self.clock.now()
+    }
+
+    fn record(&self, record: Record) {
+        self.records.record(record);
+    }
+
+    fn listed(&mut self, listing: &Listing) {
+        let targets: Vec<ListedTarget> = listing
+            .targets
+            .iter()
+            .map(|target| ListedTarget {
+                service: target.service.clone(),
+                addr: target.addr,
+                zone: target.zone.clone(),
+                version: target.version.clone(),
+                is_leaving: target.is_leaving,
+            })
+            .collect();
+        let hosts = listing.entries.iter().map(|entry| ListedHost {
+            host: entry.host.clone(),
+            peer_addr: entry.peer_addr,
+        });
+        let names = listing
+            .entries
+            .iter()
+            .map(|entry| entry.host.clone())
+            .collect();
+        self.step_membership(MembershipEvent::Listed(hosts.collect()), None);
+        self.step_bundle(BundleEvent::Listed(names));
+        self.step_warmup(WarmupEvent::Listed(targets.clone()));
+        let now = self.now();
+        self.targets
+            .step(&self.board, TargetEvent::Listed(targets), now);
+    }
+
+    fn publish_draft(&mut self) {
+        if let Some(record) = self.draft.changed(&self.board) {
+            self.step_membership(MembershipEvent::OwnChanged(Box::new(record)), None);
+        }
+    }
+
+    fn step_membership(
+        &mut self,
+        event: MembershipEvent,
+        mut answer_to: Option<oneshot::Sender<heatherhinge_blackboard::ExchangeAnswer>>,
+    ) {
+        for effect in self.membership.step(&self.board, event, self.clock.now()) {
+            match effect {
+                MembershipEffect::Exchange { ticket, request } => self.io.exchange(ticket, request),
+                MembershipEffect::Answer(answer) => {
+                    if let Some(asked) = answer_to.take() {
+                        asked.send(answer).ok();
+                    }
+                }
+            }
+        }
+    }
+
+    fn step_bundle(&mut self, event: BundleEvent) {
+        for effect in self.bundle.step(&self.board, event, self.clock.now()) {
+            match effect {
+                BundleEffect::ReadRow { asked_ns } => self.io.read_bundle_row(asked_ns),
+                BundleEffect::Fetch { version, source } => self.io.fetch_bundle(version, source),
+                BundleEffect::InForce { version, digest } => {
+                    tracing::info!("bundle: version {} is in force", version.0);
+                    let event = RecordEvent::BundleInForce {
+                        version: version.0,
+                        digest,
+                    };
+                    let basis = RecordBasis {
+                        bundle: version.0,
+                        ..RecordBasis::default()
+                    };
+                    self.record(Record {
+                        at_wall_ms: self.now().wall_ms,
+                        host: self.board.host.clone(),
+                        subject: Subject::Bundle,
+                        basis,
+                        event,
+                    });
+                }
+            }
+        }
+    }
+
+    fn step_ownership(&mut self, event: OwnershipEvent) {
+        for effect in self.ownership.step(&self.board, event, self.clock.now()) {
+            match effect {
+                OwnershipEffect::Read { id } => self.io.read_owners(id),
+                OwnershipEffect::Write { id, rows } => self.io.write_owners(id, rows),
+                OwnershipEffect::HandOverClaims(parts) => {
+                    self.io.hand_over(Arc::clone(&self.claims), parts);
+                }
+                OwnershipEffect::AdoptClaims {
+                    partition,
+                    giver,
+                    from_wall_ms,
+                } => {
+                    self.claims.adopt(partition, &giver, from_wall_ms);
+                }
+                OwnershipEffect::Record(record) => self.record(*record),
+                OwnershipEffect::Stopped => {
+                    self.events.send(HostEvent::Drain(DrainEvent::Released));
+                }
+            }
+        }
+    }
+
+    fn step_zones(&mut self) {
+        for effect in self
+            .zones
+            .step(&self.board, ZoneEvent::Tick, self.clock.now())
+        {
+            let ZoneEffect::Record(record) = effect;
+            self.record(*record);
+        }
+    }
+
+    fn step_warmup(&mut self, event: WarmupEvent) {
+        for effect in self.warmup.step(&self.board, event, self.clock.now()) {
+            match effect {
+                WarmupEffect::AnnounceWarm(warm) => self.draft.warm = warm,
+                WarmupEffect::TellOwner {
+                    peer_addr, report, ..
+                } => {
+                    self.io.tell_cold(peer_addr, report);
+                }
+                WarmupEffect::Record(record) => self.record(*record),
+            }
+        }
+    }
+
+    fn step_quarantine(&mut self, event: QuarantineEvent) {
+        for effect in self.quarantine.step(&self.board, event, self.clock.now()) {
+            match effect {
+                QuarantineEffect::ReportCrash {
+                    peer_addr,
+                    id,
+                    report,
+                    ..
+                } => {
+                    self.io.report_crash(peer_addr, id, report);
+                }
+                QuarantineEffect::ReportSuccess {
+                    peer_addr, digest, ..
+                } => {
+                    self.io.report_success(peer_addr, digest);
+                }
+                QuarantineEffect::Spread { quarantine, peers } => {
+                    self.io.spread_quarantine(quarantine, peers);
+                }
+                QuarantineEffect::AnswerPeer { to, id, outcome } => {
+                    self.reports.answer_peer(&to, id, outcome);
+                }
+                QuarantineEffect::Settled { id, .. } => self.reports.settle_own(id),
+                QuarantineEffect::Announce(quarantines) => self.draft.quarantine = quarantines,
+                QuarantineEffect::Record(record) => self.record(*record),
+            }
+        }
+    }
+
+    fn step_moves(&mut self, event: MoveEvent) {
+        for effect in self.moves.step(&self.board, event, self.clock.now()) {
+            match effect {
+                MoveEffect::ReadRow { move_id } => self.io.read_move(move_id),
+                MoveEffect::WriteRow { row, expected_step } => {
+                    self.io.write_move(row, expected_step);
+                }
+                MoveEffect::WriteReport(report) => self.io.write_report(report),
+                MoveEffect::TellLeader {
+                    peer_addr, move_id, ..
+                } => {
+                    self.io.tell_brake(peer_addr, move_id);
+                }
+                MoveEffect::Publish { evidence, verdicts } => {
+                    self.draft.evidence = evidence;
+                    self.draft.verdicts = verdicts;
+                }
+                MoveEffect::Record(record) => self.record(*record),
+            }
+        }
+    }
+
+    fn step_drain(&mut self, event: DrainEvent) {
+        for effect in self.drain.step(&self.board, event, self.clock.now()) {
+            match effect {
+                DrainEffect::StopNaming => {
+                    tracing::info!("drain: callers are no longer sent here");
+                    self.publish_draft();
+                }
+                DrainEffect::CloseListener => {
+                    tracing::info!("drain: the listener is closed, requests in flight go on");
+                    if let Some(close) = self.signals.close_listener.take() {
+                        close.send(()).ok();
+                    }
+                }
+                DrainEffect::ReleasePartitions => {
+                    self.step_ownership(OwnershipEvent::StopRequested);
+                }
+                DrainEffect::Exit => {
+                    if let Some(exit) = self.signals.exit.take() {
+                        exit.send(()).ok();
+                    }
+                }
+                DrainEffect::Record(record) => self.record(*record),
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/draft.rs
@@ -0,0 +1,102 @@
+//! What this host publishes about itself.
+
+use heatherhinge_blackboard::{
+    Blackboard, Evidence, HostPhase, HostRecord, MoveVerdict, Quarantine, RecordVersion, Spend,
+    WarmTarget,
+};
+use heatherhinge_types::Name;
+use std::net::SocketAddr;
+use std::sync::atomic::Ordering;
+
+/// Collects the content of this host's record from the controllers and the blackboard.
+#[derive(Debug)]
+pub(crate) struct RecordDraft {
+    caller_addr: SocketAddr,
+    peer_addr: SocketAddr,
+    published: Option<HostRecord>,
+    pub(crate) warm: Vec<WarmTarget>,
+    pub(crate) evidence: Vec<Evidence>,
+    pub(crate) verdicts: Vec<MoveVerdict>,
+    pub(crate) quarantine: Vec<Quarantine>,
+}
+
+impl RecordDraft {
+    pub(crate) const fn new(caller_addr: SocketAddr, peer_addr: SocketAddr) -> Self {
+        Self {
+            caller_addr,
+            peer_addr,
+            published: None,
+            warm: Vec::new(),
+            evidence: Vec::new(),
+            verdicts: Vec::new(),
+            quarantine: Vec::new(),
+        }
+    }
+
+    /// Returns the record if its content differs from what was published last.
+    pub(crate) fn changed(&mut self, board: &Blackboard) -> Option<HostRecord> {
+        let record = self.record(board);
+        if self.published.as_ref() == Some(&record) {
+            return None;
+        }
+        self.published = Some(record.clone());
+        Some(record)
+    }
+
+    fn record(&self, board: &Blackboard) -> HostRecord {
+        let owners = board.owners.read();
+        let own_lease = owners.value.own_lease_until_wall_ms;
+        HostRecord {
+            host: board.host.clone(),
+            // The membership controller sets the version and the age.
+            version: RecordVersion::default(),
+            store_age_ms: 0,
+            zone: board.zone.clone(),
+            caller_addr: self.caller_addr,
+            peer_addr: self.peer_addr,
+            takes_callers: board.counters.status.phase() == HostPhase::Serving,
+            bundle_version: bundle_version(board),
+            lease_epoch: owners.value.epoch(&board.host),
+            lease_until_wall_ms: own_lease,
+            warm: self.warm.clone(),
+            evidence: self.evidence.clone(),
+            verdicts: self.verdicts.clone(),
+            quarantine: self.quarantine.clone(),
+            spend: spend(board),
+        }
+    }
+}
+
+fn bundle_version(board: &Blackboard) -> heatherhinge_bundle::BundleVersion {
+    board
+        .bundle
+        .read()
+        .value
+        .as_ref()
+        .map(|bundle| bundle.version)
+        .unwrap_or_default()
+}
+
+/// Sums what measuring, retrying and refusing cost on this host.
+pub(crate) fn spend(board: &Blackboard) -> Spend {
+    let routing = board.routing.read();
+    let mut spend = Spend {
+        probes: board.counters.probes.load(Ordering::Relaxed),
+        ..Spend::default()
+    };
+    for service in routing.value.services.values() {
+        spend.retries += service.counters.retries.load(Ordering::Relaxed);
+        spend.refusals += service.counters.refusals.load(Ordering::Relaxed);
+    }
+    spend
+}
+
+/// Returns the name of a phase for answers and records.
+pub(crate) fn phase_name(phase: HostPhase) -> Name {
+    Name::from(match phase {
+        HostPhase::Starting => "starting",
+        HostPhase::Serving => "serving",
+        HostPhase::Leaving => "leaving",
+        HostPhase::Draining => "draining",
+    })
+}
--- /dev/null
+++ b/crates/entryd/src/observe.rs
@@ -0,0 +1,32 @@
+//! Turns what the data path sees of targets into events.
+
+use crate::event::{EventSender, HostEvent};
+use heatherhinge_controllers::{AnswerKind, WarmupEvent};
+use heatherhinge_proxy::{Observation, Observer, Sign};
+
+/// Passes observations on to the conductor.
+#[derive(Debug)]
+pub(crate) struct EventObserver(pub(crate) EventSender);
+
+impl Observer for EventObserver {
+    fn observe(&self, observation: Observation) {
+        let target = &observation.target;
+        let name = target.id.clone();
+        let report = target.start_id().map(|run| (run, target.uptime_ms()));
+        let answer = |kind, latency_ns| WarmupEvent::Answer {
+            target: name.clone(),
+            kind,
+            report,
+            latency_ns,
+        };
+        let event = match observation.sign {
+            Sign::ColdAnswer { latency_ns } => answer(AnswerKind::Good, latency_ns),
+            Sign::ColdFailure | Sign::Restarted => answer(AnswerKind::Error, 0),
+            Sign::Unreachable | Sign::Broke { .. } => WarmupEvent::ConnectionLost {
+                target: name.clone(),
+                run: target.start_id(),
+            },
+        };
+        self.0.send(HostEvent::Warmup(event));
+    }
+}
--- /dev/null
+++ b/crates/entryd/src/peer_handler.rs
@@ -0,0 +1,97 @@
+//! Answers the other entry hosts.
+
+use crate::bundle_store::BundleStore;
+use crate::claim_desk::ClaimDesk;
+use crate::event::{EventSender, HostEvent};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
+use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
+use heatherhinge_controllers::{
+    ColdReport, MoveEvent, OwnershipEvent, QuarantineEvent, WarmupEvent,
+};
+use heatherhinge_peer::{ColdReport as PeerColdReport, CrashAnswer, CrashReport, PeerHandler};
+use heatherhinge_types::{Digest, Name};
+use std::sync::Arc;
+
+/// The other hosts' view of this host.
+#[derive(Debug)]
+pub(crate) struct HostPeerHandler {
+    pub(crate) claims: Arc<ClaimDesk>,
+    pub(crate) bundles: Arc<BundleStore>,
+    pub(crate) events: EventSender,
+}
+
+impl PeerHandler for HostPeerHandler {
+    async fn claim(&self, request: ClaimRequest) -> ClaimAnswer {
+        self.claims.claim(&request)
+    }
+
+    async fn settle(&self, settlement: Settlement) -> SettleAnswer {
+        self.claims.settle(settlement)
+    }
+
+    async fn exchange(&self, request: ExchangeRequest) -> ExchangeAnswer {
+        let answer = self
+            .events
+            .ask(|answer| HostEvent::ExchangeAsked { request, answer })
+            .await;
+        // Without a record of its own this host has nothing to tell yet.
+        answer.unwrap_or(ExchangeAnswer {
+            digest: Vec::new(),
+            records: Vec::new(),
+        })
+    }
+
+    async fn report_crash(&self, report: CrashReport) -> CrashAnswer {
+        let answer = self
+            .events
+            .ask(|answer| HostEvent::PeerCrashed { report, answer })
+            .await;
+        answer.unwrap_or(CrashAnswer::NotOwner)
+    }
+
+    async fn hold_back(&self, quarantine: Quarantine) {
+        self.events
+            .ask(|done| HostEvent::HoldBack { quarantine, done })
+            .await;
+    }
+
+    async fn report_success(&self, digest: Digest) {
+        self.events
+            .send(HostEvent::Quarantine(QuarantineEvent::PeerSucceeded {
+                digest,
+            }));
+    }
+
+    async fn hand_over(&self, handed: HandedPartition) -> bool {
+        let (partition, giver) = (handed.partition, handed.giver.clone());
+        let is_kept = self.claims.take_over(handed);
+        if is_kept {
+            let event = OwnershipEvent::ClaimsReceived { partition, giver };
+            self.events.send(HostEvent::Ownership(event));
+        }
+        is_kept
+    }
+
+    async fn fetch_bundle(&self, version: u64) -> Option<Vec<u8>> {
+        self.bundles.envelope_json(version)
+    }
+
+    async fn cold_seen(&self, report: PeerColdReport) {
+        let PeerColdReport {
+            target,
+            lost_run,
+            new_run,
+        } = report;
+        let event = WarmupEvent::Reported(ColdReport {
+            target,
+            lost_run,
+            new_run,
+        });
+        self.events.send(HostEvent::Warmup(event));
+    }
+
+    async fn brake(&self, move_id: Name, from: Name) {
+        self.events
+            .send(HostEvent::Moves(MoveEvent::BrakeReported { move_id, from }));
+    }
+}
--- a/crates/load/src/experiment/fake_host.rs
+++ b/crates/load/src/experiment/fake_host.rs
@@ -39,6 +39,7 @@
             share_permille: 1_000,
             warm: cells.clone(),
             cold: Vec::new(),
+            elsewhere: BTreeSet::new(),
         };
         let (service, route) = service(fleet);
         let targets = ServiceTargets {
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -93,7 +93,13 @@
 
 fn matches_route(route: &Route, method: &Method, rest: &str) -> bool {
     let method_matches = route.methods.is_empty() || route.methods.contains(method.as_str());
-    method_matches && rest.starts_with(&route.prefix)
+    method_matches && has_prefix(rest, &route.prefix)
+}
+
+/// Prefixes match whole segments: `/book` matches `/book/7` but not `/booking`.
+fn has_prefix(path: &str, prefix: &str) -> bool {
+    path.strip_prefix(prefix.trim_end_matches('/'))
+        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
 }
 
 fn deadline_ms(headers: &HeaderMap, route: &Route) -> Result<u64, Code> {
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -62,6 +62,7 @@
         share_permille: 1_000,
         warm,
         cold,
+        elsewhere: BTreeSet::new(),
     };
     let targets = ServiceTargets {
         service: Arc::new(service),
@@ -158,6 +159,7 @@
 #[test]
 fn retries_stay_within_their_share() {
     let counters = ServiceCounters::default();
+    counters.retry_credit_permille.store(0, Ordering::Relaxed);
     let budget = RetryBudget::new(&counters, 100);
     let mut retries = 0;
     for _ in 0..1_000 {
--- a/crates/proxy/src/answer_body.rs
+++ b/crates/proxy/src/answer_body.rs
@@ -2,13 +2,14 @@
 
 use axum::body::Body as AdminBody;
 use bytes::Bytes;
-use heatherhinge_blackboard::InFlight;
+use heatherhinge_blackboard::{Blackboard, InFlight};
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
 use std::fmt;
 use std::future::Future;
 use std::pin::Pin;
 use std::sync::Arc;
+use std::sync::atomic::Ordering;
 use std::task::{Context, Poll};
 use std::time::Duration;
 use tokio::sync::Notify;
@@ -56,8 +57,26 @@
     idle: Duration,
     stalled_at: Pin<Box<Sleep>>,
     // Declared in this order so that the request has left the target when waiters are woken.
-    _in_flight: InFlight,
-    _wake: WakeOnDrop,
+    _in_flight: Option<InFlight>,
+    _wake: Option<WakeOnDrop>,
+    active: Option<ActiveRequest>,
+}
+
+/// Counts a request of a caller as in flight on this host until its answer has been passed on.
+#[derive(Debug)]
+pub(crate) struct ActiveRequest(Arc<Blackboard>);
+
+impl ActiveRequest {
+    pub(crate) fn begin(board: &Arc<Blackboard>) -> Self {
+        board.counters.in_flight.fetch_add(1, Ordering::AcqRel);
+        Self(Arc::clone(board))
+    }
+}
+
+impl Drop for ActiveRequest {
+    fn drop(&mut self) {
+        self.0.counters.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
 }
 
 /// Wakes a request that waits for a target when another one has ended.
@@ -82,8 +101,22 @@
             incoming,
             idle,
             stalled_at,
-            _in_flight: in_flight,
-            _wake: wake,
+            _in_flight: Some(in_flight),
+            _wake: Some(wake),
+            active: None,
+        }
+    }
+
+    /// Makes the body of an answer that another entry host gave.
+    pub(crate) fn passed_on(incoming: Incoming, idle: Duration) -> Self {
+        let stalled_at = Box::pin(sleep(idle));
+        Self {
+            incoming,
+            idle,
+            stalled_at,
+            _in_flight: None,
+            _wake: None,
+            active: None,
         }
     }
 
@@ -105,7 +138,20 @@
     }
 }
 
+impl From<AnswerBody> for ServerBody {
+    fn from(body: AnswerBody) -> Self {
+        Self::Answer(Box::pin(body))
+    }
+}
+
 impl ServerBody {
+    /// Keeps the request counted as in flight until a streamed body has ended.
+    pub(crate) fn hold(&mut self, active: ActiveRequest) {
+        if let Self::Answer(body) = self {
+            body.active = Some(active);
+        }
+    }
+
     /// Makes a body that is in memory.
     #[must_use]
     pub fn full(bytes: impl Into<Bytes>) -> Self {
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -1,8 +1,8 @@
 //! One attempt at a target.
 
+use crate::Limits;
 use crate::headers::{AttemptHeaders, Trace, set_attempt, strip_hop_by_hop, target_uri};
 use crate::out_body::OutBody;
-use heatherhinge_blackboard::TargetCell;
 use heatherhinge_policy::AttemptOutcome;
 use heatherhinge_types::{LoadReport, header};
 use http::request::Parts;
@@ -10,13 +10,30 @@
 use hyper::body::Incoming;
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
+use hyper_util::rt::{TokioExecutor, TokioTimer};
 use rand::Rng;
+use std::net::SocketAddr;
 use std::time::Duration;
 use tokio::time::timeout;
 
 /// The client that holds the connections to targets.
 pub(crate) type TargetClient = Client<HttpConnector, OutBody>;
 
+/// Makes the client with the limits of the data path.
+pub(crate) fn target_client(limits: &Limits) -> TargetClient {
+    let mut connector = HttpConnector::new();
+    connector.set_nodelay(true);
+    connector.set_connect_timeout(Some(Duration::from_millis(limits.connect_ms)));
+    // The library's own resend is off: a request on a connection that the target has just
+    // closed may have run.
+    Client::builder(TokioExecutor::new())
+        .retry_canceled_requests(false)
+        .pool_timer(TokioTimer::new())
+        .pool_idle_timeout(limits.idle())
+        .pool_max_idle_per_host(limits.idle_connections)
+        .build(connector)
+}
+
 /// What one attempt brought.
 #[derive(Debug)]
 pub(crate) struct AttemptResult {
@@ -42,7 +59,7 @@
 pub(crate) fn attempt_request<R: Rng>(
     head: &Parts,
     body: OutBody,
-    target: &TargetCell,
+    addr: SocketAddr,
     trace: &Trace,
     attempt: AttemptHeaders,
     rng: &mut R,
@@ -51,9 +68,10 @@
     strip_hop_by_hop(&mut headers);
     set_attempt(&mut headers, trace, attempt, rng);
     headers.remove(http::header::HOST);
+    headers.remove(header::RELAYED);
     let mut request = Request::new(body);
     *request.method_mut() = head.method.clone();
-    *request.uri_mut() = target_uri(&head.uri, target.addr)?;
+    *request.uri_mut() = target_uri(&head.uri, addr)?;
     *request.version_mut() = Version::HTTP_11;
     *request.headers_mut() = headers;
     Ok(request)
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,9 +1,12 @@
 //! A request from its arrival to its answer.
 
+use crate::answer_body::ActiveRequest;
+use crate::attempt::target_client;
 use crate::call::{Answered, Call};
 use crate::claimed::{STORED_BODY_MAX_BYTES, replay, stored_answer};
 use crate::dispatcher::Dispatcher;
 use crate::headers::Trace;
+use crate::relay::{Relay, RelayHost};
 use crate::request::RequestBody;
 use crate::sender::Sender;
 use crate::story::Story;
@@ -56,6 +59,7 @@
 pub struct Proxy<P, Q, S, O> {
     board: Arc<Blackboard>,
     dispatcher: Dispatcher<P>,
+    relay: Relay,
     sender: Sender<Q, O>,
     peers: Arc<Q>,
     records: S,
@@ -87,16 +91,19 @@
             ..
         } = parts;
         let dispatcher = Dispatcher::new(Arc::clone(&board), picker, clock);
+        let client = target_client(&limits);
+        let relay = Relay::new(Arc::clone(&board), client.clone(), clock);
         let sender = Sender::new(
             Arc::clone(&board),
             Arc::clone(&peers),
             observer,
             clock,
-            &limits,
+            client,
         );
         Self {
             board,
             dispatcher,
+            relay,
             sender,
             peers,
             records,
@@ -123,6 +130,7 @@
             incarnation: self.incarnation,
             sequence: number,
         };
+        let active = ActiveRequest::begin(&self.board);
         let (head, body) = request.into_parts();
         let trace = Trace::of(&head.headers, &mut rng);
         let id = trace.request_id.clone();
@@ -135,6 +143,7 @@
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(header::REQUEST_ID, value);
         }
+        response.body_mut().hold(active);
         response
     }
 
@@ -163,7 +172,7 @@
                 return Err(code);
             }
         };
-        let call = Call {
+        let mut call = Call {
             digest: body.digest(&head),
             head,
             body,
@@ -177,6 +186,9 @@
             not_after_wall_ms: None,
             rng,
         };
+        if let Some(host) = self.relay.host_for(&mut call) {
+            return self.run_elsewhere(call, &host).await;
+        }
         let Some(key) = call.plan.key else {
             return self.run(call).await;
         };
@@ -214,6 +226,19 @@
         plan(&facts, &self.board.routing.read().value, now.mono_ns)
     }
 
+    /// Passes a request to another entry host, which takes the claim if one is needed.
+    async fn run_elsewhere(
+        &self,
+        mut call: Call,
+        host: &RelayHost,
+    ) -> Result<Response<ServerBody>, Code> {
+        let result = self.relay.pass(&mut call, host).await;
+        let status = result.as_ref().map(|response| response.status().as_u16());
+        self.close_story(call, status.map_err(|code| *code));
+        let idle = self.limits.idle();
+        result.map(|response| response.map(|body| AnswerBody::passed_on(body, idle).into()))
+    }
+
     /// Runs a request that needs no claim and passes its answer on.
     async fn run(&self, mut call: Call) -> Result<Response<ServerBody>, Code> {
         let result = self.attempts(&mut call).await;
@@ -387,7 +412,7 @@
         let idle = self.limits.idle();
         response.map(|incoming| {
             let body = AnswerBody::new(incoming, idle, held.chosen.in_flight, held.wake);
-            ServerBody::Answer(Box::pin(body))
+            ServerBody::from(body)
         })
     }
 
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -20,6 +20,7 @@
 mod peers;
 mod queue;
 mod refusal;
+mod relay;
 mod request;
 mod sender;
 mod server;
--- a/crates/proxy/src/sender.rs
+++ b/crates/proxy/src/sender.rs
@@ -3,14 +3,11 @@
 use crate::attempt::{AttemptResult, TargetClient, attempt_request, send};
 use crate::call::{Call, Held};
 use crate::headers::AttemptHeaders;
-use crate::{Clock, Limits, Observation, Observer, Peers, Sign};
+use crate::{Clock, Observation, Observer, Peers, Sign};
 use heatherhinge_blackboard::{Blackboard, RouteCounters, TargetCell};
 use heatherhinge_policy::AttemptOutcome;
 use heatherhinge_records::RecordEvent;
 use heatherhinge_types::{Code, MonoNs};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,19 +28,8 @@
         peers: Arc<Q>,
         observer: O,
         clock: Clock,
-        limits: &Limits,
+        client: TargetClient,
     ) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(limits.connect_ms)));
-        // The library's own resend is off: a request on a connection that the target has just
-        // closed may have run.
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(limits.idle())
-            .pool_max_idle_per_host(limits.idle_connections)
-            .build(connector);
         Self {
             board,
             client,
@@ -99,7 +85,7 @@
         let request = attempt_request(
             &call.head,
             body,
-            target,
+            target.addr,
             &call.trace,
             headers,
             &mut call.rng,
--- a/crates/proxy/src/story.rs
+++ b/crates/proxy/src/story.rs
@@ -1,11 +1,8 @@
 //! The records of one request, kept together until it is known whether they are kept at all.
 
 use heatherhinge_blackboard::Basis;
-use heatherhinge_records::{Record, RecordBasis, RecordEvent, RecordSink, Subject};
-use heatherhinge_types::{Digest, Name, WallMs};
-
-/// One in this many plain successes is recorded.
-const SAMPLE_EVERY: u128 = 100;
+use heatherhinge_records::{Record, RecordBasis, RecordEvent, RecordSink, Sampler, Subject};
+use heatherhinge_types::{Name, WallMs};
 
 /// The decisions about one request so far.
 #[derive(Debug)]
@@ -45,10 +42,8 @@
 
     /// Hands the records in, or drops them if the request was a plain success that is not sampled.
     pub(crate) fn finish<S: RecordSink>(self, sink: &S) {
-        // By the digest of the id, so that all hosts keep the same requests.
-        let is_sampled = Digest::of(self.request_id.as_bytes())
-            .0
-            .is_multiple_of(SAMPLE_EVERY);
+        // The same sampler on all hosts, so that all of them keep the same requests.
+        let is_sampled = Sampler::new(0).keeps(&self.request_id);
         if self.is_plain && !is_sampled {
             return;
         }
--- a/crates/records/src/record.rs
+++ b/crates/records/src/record.rs
@@ -136,6 +136,8 @@
         owner: Name,
         not_after_wall_ms: WallMs,
     },
+    /// The request was passed to the entry host that owns a target which is not warm.
+    Relayed { service: Name, owner: Name },
     /// The stored answer of a completed key was repeated.
     Replayed { partition: Partition, owner: Name },
     /// A target was seen cold.
--- a/crates/records/src/sentence.rs
+++ b/crates/records/src/sentence.rs
@@ -46,6 +46,7 @@
         | RecordEvent::Refused { .. }
         | RecordEvent::Retried { .. }
         | RecordEvent::Claimed { .. }
+        | RecordEvent::Relayed { .. }
         | RecordEvent::Replayed { .. } => request_text(event),
         RecordEvent::ColdSeen { .. }
         | RecordEvent::AllowanceSet { .. }
@@ -103,6 +104,10 @@
              idempotency key; the request must not start after {}.",
             format_wall_time_ms(*not_after_wall_ms)
         ),
+        RecordEvent::Relayed { service, owner } => format!(
+            "No target of service {service} was warm, and other hosts own the ones that are not, \
+             so the request was passed to host {owner}."
+        ),
         RecordEvent::Replayed { partition, owner } => format!(
             "The key had run before, so the stored answer of host {owner}, the owner of partition \
              {partition}, was repeated; nothing ran again."
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -36,6 +36,8 @@
     pub const NOT_RUN: &str = "heatherhinge-not-run";
     /// Set to 1 on an answer that was retried below and must not be retried above.
     pub const RETRIED: &str = "heatherhinge-retried";
+    /// Set to 1 on a request that one entry host passes to another; it is not passed on again.
+    pub const RELAYED: &str = "heatherhinge-relayed";
     /// Set to 1 on an answer that repeats the stored answer of a completed key.
     pub const REPLAYED: &str = "heatherhinge-replayed";
     /// Numbered result code of a refusal.
