Keep the work for a record apart from the number of records with its id

Cause: RecordRing looked at every record of a subject for each new one. A trial that pushed 200,000 records, first with distinct ids and then with one id, had not ended after 600 s; callers choose ids, so one caller could stall the records of a host. Change: the ring keeps a count of the always-kept records and a set of the plain ones per subject. Conclusion: the work for a record no longer depends on the ids that callers send.

--- a/crates/records/src/ring.rs
+++ b/crates/records/src/ring.rs
@@ -26,6 +26,17 @@
     class: Class,
 }
 
+/// The records about one subject. A caller may give many requests the same id, so the work for one
+/// record must not grow with their number.
+#[derive(Debug, Default)]
+struct SubjectPlaces {
+    all: BTreeSet<Place>,
+    /// Those of [`Class::Plain`].
+    plain: BTreeSet<Place>,
+    /// Number of records of the kinds that are always kept, uploaded or not.
+    always_count: usize,
+}
+
 /// Keeps the newest records of one host and hands them out in batches; `docs/design.md`,
 /// section 16.
 ///
@@ -44,7 +55,7 @@
     next_place: Place,
     held: BTreeMap<Place, Held>,
     places: [BTreeSet<Place>; 4],
-    by_subject: BTreeMap<Subject, BTreeSet<Place>>,
+    by_subject: BTreeMap<Subject, SubjectPlaces>,
     lost: u64,
     lost_unrecorded: u64,
     next_sequence: u64,
@@ -73,15 +84,23 @@
     /// Takes one record.
     pub fn push(&mut self, record: Record) {
         let class = self.classify(&record);
-        if class == Class::Always {
-            self.promote(&record.subject);
-        }
         let place = self.next_place;
         self.next_place += 1;
-        self.by_subject
-            .entry(record.subject.clone())
-            .or_default()
-            .insert(place);
+        let about = self.by_subject.entry(record.subject.clone()).or_default();
+        about.all.insert(place);
+        match class {
+            Class::Plain => {
+                about.plain.insert(place);
+            }
+            Class::Always => {
+                about.always_count += 1;
+                let earlier = std::mem::take(&mut about.plain);
+                earlier
+                    .into_iter()
+                    .for_each(|place| self.reclass(place, Class::Sampled));
+            }
+            Class::Uploaded | Class::Sampled => {}
+        }
         self.places_of(class).insert(place);
         self.held.insert(place, Held { record, class });
         while self.held.len() > self.limit {
@@ -97,7 +116,8 @@
 
     /// Returns the records about a subject in the order of arrival.
     pub fn find(&self, subject: &Subject) -> impl Iterator<Item = &Record> {
-        let places = self.by_subject.get(subject).into_iter().flatten();
+        let places = self.by_subject.get(subject).into_iter();
+        let places = places.flat_map(|about| &about.all);
         places.filter_map(|place| self.held.get(place).map(|held| &held.record))
     }
 
@@ -152,25 +172,10 @@
         }
     }
 
-    /// Returns whether a record that is always kept is known about the subject.
+    /// Returns whether a record that is always kept is in memory about the subject.
     fn is_noted(&self, subject: &Subject) -> bool {
-        self.find(subject)
-            .any(|record| !record.event.is_plain_success())
-    }
-
-    fn promote(&mut self, subject: &Subject) {
-        let places: Vec<Place> = self
-            .by_subject
-            .get(subject)
-            .into_iter()
-            .flatten()
-            .copied()
-            .collect();
-        for place in places {
-            if self.held.get(&place).map(|held| held.class) == Some(Class::Plain) {
-                self.reclass(place, Class::Sampled);
-            }
-        }
+        let about = self.by_subject.get(subject);
+        about.is_some_and(|about| about.always_count > 0)
     }
 
     fn reclass(&mut self, place: Place, class: Class) {
@@ -197,9 +202,11 @@
         let Some((place, held)) = oldest.and_then(|p| self.held.remove_entry(&p)) else {
             return;
         };
-        if let Some(places) = self.by_subject.get_mut(&held.record.subject) {
-            places.remove(&place);
-            if places.is_empty() {
+        if let Some(about) = self.by_subject.get_mut(&held.record.subject) {
+            about.all.remove(&place);
+            about.plain.remove(&place);
+            about.always_count -= usize::from(!held.record.event.is_plain_success());
+            if about.all.is_empty() {
                 self.by_subject.remove(&held.record.subject);
             }
         }
--- a/crates/records/tests/ring.rs
+++ b/crates/records/tests/ring.rs
@@ -158,6 +158,23 @@
     );
 }
 
+/// Guards against the work for a record growing with the records of the same id: with work in
+/// proportion to their number this test would run for hours.
+#[test]
+fn many_requests_with_one_id() {
+    let mut ring = ring(1_000_000, 65_536);
+    let id = request("same");
+    for at_ms in 0..200_000 {
+        let event = if at_ms % 1_000 == 999 {
+            waited(1)
+        } else {
+            chosen("t1", 1)
+        };
+        ring.push(record(at_ms, "entry-a", id.clone(), event));
+    }
+    assert_eq!((ring.len(), ring.find(&id).count()), (65_536, 65_536));
+}
+
 /// Guards against the sink blocking the path of a request when nobody takes records out.
 #[test]
 fn full_queue_drops_and_counts() {
