Require the platform's list before a majority counts

Change: without a list there is no majority; the bundle controller no longer takes the peers of the settings. A test by table and the random faults stay as regression tests.

--- a/crates/controllers/src/bundle_spread.rs
+++ b/crates/controllers/src/bundle_spread.rs
@@ -10,7 +10,6 @@
 use heatherhinge_blackboard::{Blackboard, Writer};
 use heatherhinge_bundle::{Bundle, BundleVersion};
 use heatherhinge_types::{Digest, MonoNs, Now};
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 /// Time between reads of the store's row.
@@ -49,15 +48,14 @@
 }
 
 impl BundleController {
-    /// Makes the controller from the one writer of the bundle entry and the peers that the
-    /// settings name.
+    /// Makes the controller from the one writer of the bundle entry.
     #[must_use]
-    pub fn new(writer: Writer<Option<Arc<Bundle>>>, seed_peers: Vec<SocketAddr>) -> Self {
+    pub fn new(writer: Writer<Option<Arc<Bundle>>>) -> Self {
         Self {
             writer,
             in_force: None,
             row: None,
-            freshness: Freshness::new(seed_peers),
+            freshness: Freshness::default(),
             pause: PauseDetector::default(),
             read_ns: None,
             next_read_ns: MonoNs(0),
--- a/crates/controllers/src/freshness.rs
+++ b/crates/controllers/src/freshness.rs
@@ -9,7 +9,6 @@
 use heatherhinge_bundle::BundleVersion;
 use heatherhinge_types::{MonoNs, Name};
 use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
 
 /// A host is fresh for this time after a contact.
 const FRESH_MS: u64 = 3_000;
@@ -24,18 +23,9 @@
     /// End of the freshness by the majority rule.
     majority_until_ns: MonoNs,
     listed: Option<BTreeSet<Name>>,
-    seed_peers: Vec<SocketAddr>,
 }
 
 impl Freshness {
-    /// Makes the state of a host that has heard nothing.
-    pub(crate) fn new(seed_peers: Vec<SocketAddr>) -> Self {
-        Self {
-            seed_peers,
-            ..Self::default()
-        }
-    }
-
     /// Takes in the names of the platform's list.
     pub(crate) fn take_list(&mut self, listed: Vec<Name>) {
         self.listed = Some(listed.into_iter().collect());
@@ -137,28 +127,17 @@
             .map_or(MonoNs(0), |heard_ns| heard_ns.plus_ms(FRESH_MS))
     }
 
-    /// Counts the known hosts without this one. Before the platform's list was read, the peers in
-    /// the settings stand in for it; with neither, this host cannot tell whether it is alone.
+    /// Counts the known hosts without this one; `None` before the platform's list was read. Peers in
+    /// the settings cannot stand in for it: a restarted host of a minority would find more than half
+    /// of so few.
     fn known_others(&self, own: &Name, hosts: &HostTable) -> Option<usize> {
-        let in_table = hosts.hosts.keys().filter(|host| *host != own);
-        match &self.listed {
-            Some(listed) => {
-                let names: BTreeSet<&Name> = listed
-                    .iter()
-                    .filter(|host| *host != own)
-                    .chain(in_table)
-                    .collect();
-                Some(names.len())
-            }
-            None if self.seed_peers.is_empty() => None,
-            None => {
-                let is_held = |addr: &&SocketAddr| {
-                    let mut records = hosts.hosts.values().map(|entry| &entry.record);
-                    records.any(|record| record.peer_addr == **addr)
-                };
-                let unheard = self.seed_peers.iter().filter(|addr| !is_held(addr));
-                Some(in_table.count() + unheard.count())
-            }
-        }
+        let names: BTreeSet<&Name> = self
+            .listed
+            .as_ref()?
+            .iter()
+            .chain(hosts.hosts.keys())
+            .filter(|host| *host != own)
+            .collect();
+        Some(names.len())
     }
 }
--- a/crates/controllers/tests/bundle_faults.rs
+++ b/crates/controllers/tests/bundle_faults.rs
@@ -144,7 +144,7 @@
 impl Lone {
     fn new() -> Self {
         let (board, writers) = Blackboard::new(name(1), Name::from("north"));
-        let bundles = BundleController::new(writers.bundle, Vec::new());
+        let bundles = BundleController::new(writers.bundle);
         Self {
             board,
             bundles,
@@ -302,6 +302,18 @@
     assert_eq!(lone.is_fresh(9_000), expected);
 }
 
+/// Guards against a restarted host of a minority that takes the peers in its settings for the whole
+/// fleet because it has not read the platform's list yet.
+#[test]
+fn majority_is_not_known_before_the_list() {
+    let mut lone = Lone::with(1);
+    for ms in (1_100..=9_000).step_by(100) {
+        lone.hosts.publish(table_of(2, 1, ms));
+        lone.step(ms, BundleEvent::Tick);
+    }
+    assert!(!lone.is_fresh(9_000));
+}
+
 /// Guards against contacts from before a pause that count after it.
 #[parameterized(
     short_gap = { 2_000, read(1_500, Some(row(1))), true },
--- a/crates/controllers/tests/common/mod.rs
+++ b/crates/controllers/tests/common/mod.rs
@@ -97,16 +97,15 @@
 impl Host {
     fn new(host: usize, count: usize, now_ms: u64) -> Self {
         let (board, writers) = Blackboard::new(name(host), Name::from("north"));
-        let seed_peers: Vec<_> = (1..=count.min(2)).map(peer_addr).collect();
         let settings = MembershipSettings {
             incarnation: START_WALL_MS + now_ms,
-            seed_peers: seed_peers.clone(),
+            seed_peers: (1..=count.min(2)).map(peer_addr).collect(),
             seed: u64::try_from(host).unwrap(),
         };
         Self {
             board,
             membership: MembershipController::new(writers.hosts, settings),
-            bundles: BundleController::new(writers.bundle, seed_peers),
+            bundles: BundleController::new(writers.bundle),
             paused_until_ms: 0,
             is_up: true,
             inbox: Vec::new(),
