Share the fixtures of tests and the move harness

Cause: tests and harness built the same bundles and records twice. Change: both use examples/support/fixtures.rs; the table covers the small services too, and the golden session names hosts by state.

--- a/crates/controllers/examples/move_table.rs
+++ b/crates/controllers/examples/move_table.rs
@@ -2,7 +2,7 @@
 //!
 //! `cargo run --release -p heatherhinge-controllers --example move_table -- 200 1001`
 //!
-//! The arguments are the number of seeds and the first seed.
+//! The arguments are the number of seeds, the first seed, and one service to run alone.
 
 #[path = "support/mod.rs"]
 #[allow(
@@ -91,7 +91,7 @@
     let seeds: u64 = argument(1).unwrap_or(200);
     let first: u64 = argument(2).unwrap_or(1);
     println!(
-        "| User | New version | Runs | Done | Taken back | Late | False alarms | Done after, median s | \
+        "| Service | New version | Runs | Done | Taken back | Late | False alarms | Done after, median s | \
          Stopped after, median s | 95th percentile s | Harmed, mean ‰ | most ‰ | Broken promises |"
     );
     println!("|---|---|---|---|---|---|---|---|---|---|---|---|---|");
@@ -107,10 +107,15 @@
         ("fails above 30% of the calls", Fault::UnderLoad, true),
         ("fails on one route", Fault::OneRoute, true),
     ];
-    for user in ["Vatuwaqa", "Kozhikode"] {
+    let only = std::env::args().nth(3);
+    let services = ["Orders", "Patterns", "Booking", "Fieldkit"];
+    let is_wanted = |user: &&str| only.as_ref().is_none_or(|only| only == user);
+    for user in services.into_iter().filter(is_wanted) {
         for (name, fault, is_noisy) in cases {
             let setup = |seed| match user {
-                "Vatuwaqa" => Setup::vatuwaqa(fault, is_noisy, seed),
+                "Orders" => Setup::vatuwaqa(fault, is_noisy, seed),
+                "Patterns" => Setup::patterns(fault, is_noisy, seed),
+                "Fieldkit" => Setup::fieldkit(fault, is_noisy, seed),
                 _ => Setup::kozhikode(fault, is_noisy, seed),
             };
             let workers = 5;
--- a/crates/controllers/examples/support/mod.rs
+++ b/crates/controllers/examples/support/mod.rs
@@ -1,5 +1,6 @@
 //! A simulated version move: the real controllers of several hosts, a store, callers and targets.
 
+pub mod fixtures;
 pub mod move_fleet;
 pub mod setup;
 pub mod world;
--- a/crates/controllers/examples/support/move_fleet.rs
+++ b/crates/controllers/examples/support/move_fleet.rs
@@ -1,6 +1,7 @@
 //! The move and target controllers of several hosts in virtual time.
 
-use super::setup::{CAP_PERMILLE, Fault, Setup, at, bundle, record, zone};
+use super::fixtures::{at, record};
+use super::setup::{CAP_PERMILLE, Fault, Setup, bundle, zone};
 use super::world::{Store, Targets, poisson};
 use heatherhinge_blackboard::{
     Blackboard, HostEntry, HostRecord, HostTable, MoveState, Owner, OwnerTable, Writer, Writers,
@@ -58,7 +59,7 @@
     pub after_taken_back: u64,
     /// Decisions, writes and changes on the hosts, in order.
     pub log: Vec<String>,
-    applied: BTreeMap<String, usize>,
+    applied: BTreeMap<Option<(MoveState, u32)>, usize>,
 }
 
 pub struct MoveFleet {
@@ -270,11 +271,16 @@
         for host in &self.hosts {
             let moves = host.board.moves.read();
             let entry = moves.value.services.get("orders");
-            let what = entry.map(|e| format!("{:?} {}", e.state, e.share_permille));
-            *applied.entry(what.unwrap_or_default()).or_insert(0) += 1;
+            let what = entry.map(|entry| (entry.state, entry.share_permille));
+            *applied.entry(what).or_insert(0) += 1;
         }
         if applied != self.seen.applied {
-            let line = format!("{:>7} ms hosts apply {applied:?}", self.ms);
+            let parts = applied.iter().map(|(what, hosts)| match what {
+                Some((state, share)) => format!("{state:?} {share} on {hosts}"),
+                None => format!("no move on {hosts}"),
+            });
+            let parts: Vec<String> = parts.collect();
+            let line = format!("{:>7} ms hosts apply {}", self.ms, parts.join(", "));
             self.seen.log.push(line);
             self.seen.applied = applied;
         }
--- a/crates/controllers/examples/support/setup.rs
+++ b/crates/controllers/examples/support/setup.rs
@@ -1,22 +1,13 @@
 //! A user's size, the conditions of a run, and the bundle that it starts with.
 
-use heatherhinge_blackboard::{HostRecord, RecordVersion, Spend};
-use heatherhinge_bundle::{
-    Budget, Bundle, BundleVersion, Route, RouteClass, Service, VersionMove, Zone, ZoneState,
-};
-use heatherhinge_types::{Name, Now, Urgency, WallMs};
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use super::fixtures::{self, at};
+use heatherhinge_bundle::{Bundle, VersionMove, ZoneState};
+use heatherhinge_types::Name;
 use std::sync::Arc;
 
 /// Share of an unproven version.
 pub const CAP_PERMILLE: u32 = 20;
 
-/// Virtual time, `ms` after the start of the run.
-pub fn at(ms: u64) -> Now {
-    Now::default().plus_ms(1_000_000 + ms)
-}
-
 /// What is wrong with the new version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Fault {
@@ -61,6 +52,8 @@
     pub leader_paused_ms: Option<u64>,
     /// Length of the move in milliseconds.
     pub move_ms: u64,
+    /// New answers that a step needs.
+    pub min_samples: u32,
     /// Seed of the run.
     pub seed: u64,
 }
@@ -80,10 +73,23 @@
             answers_lost_permille: 0,
             leader_paused_ms: None,
             move_ms: 600_000,
+            min_samples: 300,
             seed,
         }
     }
 
+    /// The patterns of Vatuwaqa: few targets and calls, and an hour for the move.
+    pub fn patterns(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            targets: 5,
+            calls_per_s: 40.0,
+            routes: vec![("find", 0.7), ("download", 0.3)],
+            move_ms: 3_600_000,
+            min_samples: 100,
+            ..Self::vatuwaqa(fault, is_noisy, seed)
+        }
+    }
+
     /// The bookings of Kozhikode Koop Rentals.
     pub fn kozhikode(fault: Fault, is_noisy: bool, seed: u64) -> Self {
         Self {
@@ -95,34 +101,17 @@
             ..Self::vatuwaqa(fault, is_noisy, seed)
         }
     }
-}
 
-fn service(setup: &Setup, version_move: Option<VersionMove>) -> Service {
-    let route = |name: &str| Route {
-        name: Name::from(name),
-        prefix: format!("/{name}"),
-        methods: BTreeSet::new(),
-        idempotent: None,
-        class: RouteClass::Interactive,
-        urgency: Urgency::DEFAULT,
-        body_limit_bytes: 1_000,
-        deadline_ms: 500,
-    };
-    Service {
-        name: Name::from("orders"),
-        zones: (0..setup.zones).map(zone).collect(),
-        version: Name::from("v1"),
-        slots: 5,
-        connections: 200,
-        warm_ms: 3_000,
-        queue_ms: 100,
-        queue_len: 100,
-        routes: setup
-            .routes
-            .iter()
-            .map(|(name, _)| Arc::new(route(name)))
-            .collect(),
-        version_move,
+    /// The fieldkit of Kozhikode: few targets and calls, and an hour for the move.
+    pub fn fieldkit(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            targets: 10,
+            calls_per_s: 80.0,
+            routes: vec![("manuals", 0.6), ("photos", 0.4)],
+            move_ms: 3_600_000,
+            min_samples: 100,
+            ..Self::kozhikode(fault, is_noisy, seed)
+        }
     }
 }
 
@@ -139,50 +128,11 @@
         to: Name::from("v2"),
         end_wall_ms: at(setup.move_ms).wall_ms,
         cap_permille: CAP_PERMILLE,
-        min_samples: 300,
+        min_samples: setup.min_samples,
     });
-    let service = service(setup, version_move);
-    let state = Zone {
-        state: ZoneState::In,
-    };
-    Arc::new(Bundle {
-        version: BundleVersion(version),
-        zones: service
-            .zones
-            .iter()
-            .map(|zone| (zone.clone(), state))
-            .collect(),
-        services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
-        budget: Budget {
-            probes_per_s: 10,
-            retry_permille: 100,
-            lease_ms: 10_000,
-        },
-        revoked_keys: BTreeSet::new(),
-    })
-}
-
-/// The first record of a host.
-pub fn record(host: Name, zone: Name, incarnation: u64) -> HostRecord {
-    let addr = SocketAddr::from(([127, 0, 0, 1], 1));
-    HostRecord {
-        host,
-        version: RecordVersion {
-            incarnation,
-            sequence: 0,
-        },
-        zone,
-        caller_addr: addr,
-        peer_addr: addr,
-        takes_callers: true,
-        bundle_version: BundleVersion(1),
-        store_age_ms: 0,
-        lease_epoch: 1,
-        lease_until_wall_ms: WallMs(0),
-        warm: Vec::new(),
-        evidence: Vec::new(),
-        verdicts: Vec::new(),
-        quarantine: Vec::new(),
-        spend: Spend::default(),
-    }
+    let zones: Vec<_> = (0..setup.zones)
+        .map(|index| (zone(index), ZoneState::In))
+        .collect();
+    let routes: Vec<_> = setup.routes.iter().map(|(name, _)| *name).collect();
+    fixtures::bundle(version, &zones, &routes, version_move)
 }
--- a/crates/controllers/tests/moves.rs
+++ b/crates/controllers/tests/moves.rs
@@ -89,8 +89,7 @@
         moves,
         ..
     } = writers;
-    let zones = [("north", ZoneState::In)];
-    bundles.publish(Some(bundle(1, &zones, &["read"], Some(version_move()))));
+    bundles.publish(Some(bundle(1, ZoneState::In, Some(version_move()))));
     owners.publish(owned_by(&host(leader), at(1_000_000)));
     let mut controller = MoveController::new(moves, 1);
     let (mut ms, mut written, mut reports, mut sequence) = (0, Vec::new(), 0, 0);
@@ -139,7 +138,7 @@
         match step {
             'L' => owners.publish(owned_by(&host(leader), at(0))),
             'e' => ms += 100_000,
-            'W' => bundles.publish(Some(bundle(2, &zones, &["read"], None))),
+            'W' => bundles.publish(Some(bundle(2, ZoneState::In, None))),
             _ => {}
         }
         // The daemon ticks between the answers.
--- a/crates/controllers/tests/support/mod.rs
+++ b/crates/controllers/tests/support/mod.rs
@@ -1,23 +1,18 @@
 //! Entries and hosts for the tests of several controllers.
 
-#![allow(dead_code, reason = "each test file uses its part")]
+#![allow(dead_code, unused_imports, reason = "each test file uses its part")]
 
-use heatherhinge_blackboard::{
-    HostEntry, HostRecord, HostTable, Owner, OwnerTable, RecordVersion, Spend,
-};
-use heatherhinge_bundle::{
-    Budget, Bundle, BundleVersion, Route, RouteClass, Service, VersionMove, Zone, ZoneState,
-};
-use heatherhinge_types::{MonoNs, Name, Now, Partition, Urgency, WallMs};
-use std::collections::{BTreeMap, BTreeSet};
+#[path = "../../examples/support/fixtures.rs"]
+#[allow(unreachable_pub, reason = "shared with an example")]
+mod fixtures;
+
+pub(crate) use fixtures::at;
+use heatherhinge_blackboard::{HostEntry, HostRecord, HostTable, Owner, OwnerTable};
+use heatherhinge_bundle::{Bundle, VersionMove, ZoneState};
+use heatherhinge_types::{MonoNs, Name, Now, Partition, WallMs};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-/// Virtual time, `ms` after an arbitrary start.
-pub(crate) fn at(ms: u64) -> Now {
-    Now::default().plus_ms(1_000_000 + ms)
-}
-
 pub(crate) fn addr(port: u16) -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], port))
 }
@@ -26,74 +21,15 @@
     Name::from(format!("host{index:02}"))
 }
 
-pub(crate) fn route(name: &str) -> Arc<Route> {
-    Arc::new(Route {
-        name: Name::from(name),
-        prefix: format!("/{name}"),
-        methods: BTreeSet::new(),
-        idempotent: None,
-        class: RouteClass::Interactive,
-        urgency: Urgency::DEFAULT,
-        body_limit_bytes: 1_000,
-        deadline_ms: 500,
-    })
-}
-
-pub(crate) fn bundle(
-    version: u64,
-    zones: &[(&str, ZoneState)],
-    routes: &[&str],
-    version_move: Option<VersionMove>,
-) -> Arc<Bundle> {
-    let service = Service {
-        name: Name::from("orders"),
-        zones: zones.iter().map(|(zone, _)| Name::from(*zone)).collect(),
-        version: Name::from("v1"),
-        slots: 5,
-        connections: 200,
-        warm_ms: 3_000,
-        queue_ms: 100,
-        queue_len: 100,
-        routes: routes.iter().map(|name| route(name)).collect(),
-        version_move,
-    };
-    let zones = zones
-        .iter()
-        .map(|(zone, state)| (Name::from(*zone), Zone { state: *state }));
-    Arc::new(Bundle {
-        version: BundleVersion(version),
-        zones: zones.collect(),
-        services: BTreeMap::from([(service.name.clone(), Arc::new(service))]),
-        budget: Budget {
-            probes_per_s: 10,
-            retry_permille: 100,
-            lease_ms: 10_000,
-        },
-        revoked_keys: BTreeSet::new(),
-    })
+/// A bundle with the zone `north` and the route `read`.
+pub(crate) fn bundle(version: u64, state: ZoneState, moved: Option<VersionMove>) -> Arc<Bundle> {
+    fixtures::bundle(version, &[(Name::from("north"), state)], &["read"], moved)
 }
 
 pub(crate) fn record(host: &Name, sequence: u64) -> HostRecord {
-    HostRecord {
-        host: host.clone(),
-        version: RecordVersion {
-            incarnation: 1,
-            sequence,
-        },
-        zone: Name::from("north"),
-        caller_addr: addr(1),
-        peer_addr: addr(2),
-        takes_callers: true,
-        bundle_version: BundleVersion(1),
-        store_age_ms: 0,
-        lease_epoch: 1,
-        lease_until_wall_ms: WallMs(0),
-        warm: Vec::new(),
-        evidence: Vec::new(),
-        verdicts: Vec::new(),
-        quarantine: Vec::new(),
-        spend: Spend::default(),
-    }
+    let mut record = fixtures::record(host.clone(), Name::from("north"), 1);
+    record.version.sequence = sequence;
+    record
 }
 
 pub(crate) fn host_table(records: impl IntoIterator<Item = (HostRecord, bool)>) -> HostTable {
--- a/crates/controllers/tests/warmup.rs
+++ b/crates/controllers/tests/warmup.rs
@@ -29,12 +29,7 @@
 impl Bench {
     fn new(owner: usize) -> Self {
         let (board, mut writers) = Blackboard::new(host(0), Name::from("north"));
-        writers.bundle.publish(Some(bundle(
-            1,
-            &[("north", ZoneState::In)],
-            &["read"],
-            None,
-        )));
+        writers.bundle.publish(Some(bundle(1, ZoneState::In, None)));
         writers.owners.publish(owned_by(&host(owner), at(60_000)));
         let (_, spare) = heatherhinge_blackboard::entry(Default::default());
         let warmth = std::mem::replace(&mut writers.warmth, spare);
--- a/crates/controllers/tests/warmup_fleet.rs
+++ b/crates/controllers/tests/warmup_fleet.rs
@@ -133,12 +133,7 @@
             warmth,
             ..
         } = writers;
-        bundle.publish(Some(support::bundle(
-            1,
-            &[("north", ZoneState::In)],
-            &["read"],
-            None,
-        )));
+        bundle.publish(Some(support::bundle(1, ZoneState::In, None)));
         let mut new = Host {
             board,
             hosts,
--- a/crates/controllers/tests/zones.rs
+++ b/crates/controllers/tests/zones.rs
@@ -35,7 +35,7 @@
         if *wanted == 's' {
             ms += 60_000;
         } else {
-            let new = bundle(*version, &[("north", state)], &["read"], None);
+            let new = bundle(*version, state, None);
             writers.bundle.publish(Some(new));
         }
         zones.step(&board, ZoneEvent::Tick, at(ms));
