--- a/crates/entryd/src/admin.rs
+++ b/crates/entryd/src/admin.rs
@@ -12,7 +12,7 @@
 use axum::routing::get;
 use axum::{Json, Router};
 use heatherhinge_blackboard::{Blackboard, ZonePhase};
-use heatherhinge_bundle::Bundle;
+use heatherhinge_bundle::Rejection;
 use heatherhinge_controllers::{AddressAnswer, AddressBook, BundleEvent};
 use heatherhinge_platform::PlatformError;
 use heatherhinge_proxy::Clock;
@@ -58,6 +58,16 @@
     }
 }
 
+impl From<Rejection> for Refused {
+    fn from(rejection: Rejection) -> Self {
+        let problems = rejection.problems.iter().map(ToString::to_string).collect();
+        Self {
+            code: rejection.code,
+            problems,
+        }
+    }
+}
+
 impl IntoResponse for Refused {
     fn into_response(self) -> Response {
         let body = Refusal {
@@ -114,38 +124,16 @@
     /// Checks a submitted envelope against the bundle that the store holds as accepted.
     async fn check(&self, json: &[u8]) -> Result<VerifiedBundle, Refused> {
         self.catch_up().await?;
-        let envelope = self.bundles.verify_new(json)?;
-        let file = Name::from("bundle");
         let now_wall_ms = self.clock.now().wall_ms;
-        let parsed = match self.bundles.newest() {
-            Some(newest) => {
-                Bundle::parse_successor(&file, &envelope.text, now_wall_ms, &newest.bundle)
-            }
-            None => Bundle::parse(&file, &envelope.text, now_wall_ms),
-        };
-        let bundle = parsed.map_err(|problems| Refused {
-            code: Code::BundleMalformed,
-            problems: problems.iter().map(ToString::to_string).collect(),
-        })?;
+        let verified = self.bundles.check_submitted(json, now_wall_ms)?;
         let accepted = self
             .bundles
             .newest()
             .map_or(0, |newest| newest.bundle.version.0);
-        if bundle.version.0 != accepted + 1 {
-            let is_late = bundle.version.0 <= accepted;
-            let code = if is_late {
-                Code::BundleConflict
-            } else {
-                Code::BundleVersion
-            };
-            return Err(code.into());
+        if verified.bundle.version.0 != accepted + 1 {
+            return Err(Code::BundleVersion.into());
         }
-        let digest = envelope.digest();
-        Ok(VerifiedBundle {
-            envelope,
-            bundle: Arc::new(bundle),
-            digest,
-        })
+        Ok(verified)
     }
 
     /// Takes the accepted bundle from the store, so that a host that lags does not refuse a bundle
@@ -183,6 +171,12 @@
             Err(PlatformError::OutcomeUnknown) => return Err(Code::BundleOutcomeUnknown.into()),
             Err(error) => return Err(error.code().into()),
         }
+        let (digest, key_id) = (verified.digest, verified.envelope.key_id.clone());
+        self.record(RecordEvent::BundleAccepted {
+            version,
+            digest,
+            key_id,
+        });
         let bundle = Arc::clone(&verified.bundle);
         let event = BundleEvent::Fetched {
             bundle,
@@ -195,9 +189,8 @@
         })
     }
 
-    /// Takes a bundle that was accepted elsewhere and is pushed here by the command line. Only the
-    /// envelope that the store holds as accepted is taken, or any newer one than this host's while
-    /// the store cannot be asked is refused.
+    /// Returns the acceptance of an envelope that this host already holds as the newest, so that a
+    /// submission sent again, or pushed to every host, gets the truth and not a conflict.
     fn is_in_force(&self, json: &[u8]) -> Option<BundleAccepted> {
         let envelope = heatherhinge_bundle::Envelope::from_json(json).ok()?;
         let newest = self.bundles.newest()?;
@@ -317,7 +310,7 @@
     match admin.accept(&body).await {
         Ok(accepted) => Ok(Json(accepted)),
         // The submission may be a push of what another host has just accepted.
-        Err(refused) if refused.code == Code::BundleConflict => match admin.is_in_force(&body) {
+        Err(refused) if is_late(refused.code) => match admin.is_in_force(&body) {
             Some(accepted) => Ok(Json(accepted)),
             None => Err(admin.refuse(&body, refused)),
         },
@@ -359,6 +352,11 @@
     })
 }
 
+/// Returns whether a submission may have lost against the same bundle at another host.
+fn is_late(code: Code) -> bool {
+    matches!(code, Code::BundleConflict | Code::BundleVersion)
+}
+
 fn zone_name(phase: ZonePhase) -> Name {
     Name::from(match phase {
         ZonePhase::In => "in",
--- a/crates/entryd/src/bundle_store.rs
+++ b/crates/entryd/src/bundle_store.rs
@@ -2,12 +2,12 @@
 
 use arc_swap::ArcSwapOption;
 use bytes::Bytes;
-use heatherhinge_bundle::{Bundle, BundleVersion, Envelope, TrustedKeys};
+use heatherhinge_bundle::{Bundle, BundleVersion, Envelope, Rejection, TrustedKeys};
 use heatherhinge_controllers::CurrentRow;
 use heatherhinge_platform::{
     Attribute, Condition, Item, PlatformError, Table, TableClient, Write, write_once,
 };
-use heatherhinge_types::{Code, Digest, Name};
+use heatherhinge_types::{Code, Digest, WallMs};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
@@ -61,10 +61,14 @@
     /// Codes of the family 21xx.
     pub(crate) fn take_accepted(&self, json: &[u8]) -> Result<Arc<VerifiedBundle>, Code> {
         let envelope = Envelope::from_json(json)?;
-        // A key that was revoked later does not undo the acceptance of an earlier bundle.
-        let text = envelope.verify(&self.trusted, &BTreeSet::new())?;
-        let file = Name::from("accepted bundle");
-        let bundle = Bundle::parse_accepted(&file, text).map_err(|_| Code::BundleMalformed)?;
+        let newest = self.newest();
+        let none = BTreeSet::new();
+        let revoked = newest
+            .as_ref()
+            .map_or(&none, |newest| &newest.bundle.revoked_keys);
+        let bundle = envelope
+            .open_accepted(&self.trusted, revoked)
+            .map_err(|r| r.code)?;
         let digest = envelope.digest();
         let verified = Arc::new(VerifiedBundle {
             envelope,
@@ -75,20 +79,26 @@
         Ok(verified)
     }
 
-    /// Verifies an envelope that is submitted now.
+    /// Verifies and checks an envelope that is submitted now, against the newest bundle.
     ///
     /// # Errors
     ///
-    /// Codes 2103 to 2106.
-    pub(crate) fn verify_new(&self, json: &[u8]) -> Result<Envelope, Code> {
+    /// Codes of the family 21xx, with the problems of the text.
+    pub(crate) fn check_submitted(
+        &self,
+        json: &[u8],
+        now_wall_ms: WallMs,
+    ) -> Result<VerifiedBundle, Rejection> {
         let envelope = Envelope::from_json(json)?;
         let newest = self.newest();
-        let none = BTreeSet::new();
-        let revoked = newest
-            .as_ref()
-            .map_or(&none, |newest| &newest.bundle.revoked_keys);
-        envelope.verify(&self.trusted, revoked)?;
-        Ok(envelope)
+        let in_force = newest.as_ref().map(|newest| &*newest.bundle);
+        let bundle = envelope.open_submitted(&self.trusted, in_force, now_wall_ms)?;
+        let digest = envelope.digest();
+        Ok(VerifiedBundle {
+            envelope,
+            bundle: Arc::new(bundle),
+            digest,
+        })
     }
 
     /// Reads the row of the accepted bundle.
--- a/crates/entryd/src/conductor.rs
+++ b/crates/entryd/src/conductor.rs
@@ -93,10 +93,9 @@
             ..
         } = parts;
         let now = clock.now();
-        let seeds = parts.membership.seed_peers.clone();
         Self {
             membership: MembershipController::new(writers.hosts, parts.membership),
-            bundle: BundleController::new(writers.bundle, seeds),
+            bundle: BundleController::new(writers.bundle),
             ownership: OwnershipController::new(writers.owners, parts.identity, now),
             zones: ZoneController::new(writers.zones),
             warmup: WarmupController::new(writers.warmth),
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -60,7 +60,7 @@
         .service
         .routes
         .iter()
-        .find(|route| matches_route(route, facts.method, rest))
+        .find(|route| route.matches(facts.method.as_str(), rest))
         .ok_or(Code::UnknownRoute)?;
     let is_idempotent = route
         .idempotent
@@ -91,17 +91,6 @@
     }
 }
 
-fn matches_route(route: &Route, method: &Method, rest: &str) -> bool {
-    let method_matches = route.methods.is_empty() || route.methods.contains(method.as_str());
-    method_matches && has_prefix(rest, &route.prefix)
-}
-
-/// Prefixes match whole segments: `/book` matches `/book/7` but not `/booking`.
-fn has_prefix(path: &str, prefix: &str) -> bool {
-    path.strip_prefix(prefix.trim_end_matches('/'))
-        .is_some_and(|rest| rest.is_empty() || rest.starts_with('/'))
-}
-
 fn deadline_ms(headers: &HeaderMap, route: &Route) -> Result<u64, Code> {
     match headers.get(header::DEADLINE_MS) {
         None => Ok(route.deadline_ms),
