--- a/crates/entryd/src/conductor.rs
+++ b/crates/entryd/src/conductor.rs
@@ -184,6 +184,8 @@
         let bundle = self.board.bundle.read().version;
         if bundle != self.bundle_seen {
             self.bundle_seen = bundle;
+            // Peers that cannot read the store learn of the version from this record.
+            self.publish_draft();
             self.step_zones();
             self.step_moves(MoveEvent::Tick);
             self.step_warmup(WarmupEvent::Tick);
