Let relayed heartbeats tell their age

Cause: a heartbeat was relayed for 1 s by each host on its way, so through several hosts it could be some seconds old and still count as new. Change: a heartbeat is the half second of the host's monotonic clock. A direct answer compares the clocks, and later heartbeats then tell when they were made, less 1% of drift. Only that time counts for freshness; heartbeats in questions count too, as they cannot pass for newer than they are.

--- a/crates/blackboard/src/exchange.rs
+++ b/crates/blackboard/src/exchange.rs
@@ -15,8 +15,9 @@
     pub host: Name,
     /// Version of the record held.
     pub version: RecordVersion,
-    /// Count of the host's heartbeats in the run that the version names; 0 if the sender has not
-    /// heard the host within the last second, so that a silent host is not relayed as alive.
+    /// The host's last heartbeat that is known: half seconds by its monotonic clock, counted from
+    /// 1, in the run that the version names; 0 for none. It tells its age to those who have
+    /// compared their clock with the host's.
     pub beat: u64,
 }
 
--- a/crates/blackboard/src/host_table.rs
+++ b/crates/blackboard/src/host_table.rs
@@ -10,8 +10,8 @@
 pub struct HostEntry {
     /// The newest record of the host.
     pub record: Arc<HostRecord>,
-    /// When the host was last heard, directly or through peers; 0 if it was not heard since the
-    /// start or the last pause of this host.
+    /// Time up to which the host is known to have lived, by a sign of life that came directly or
+    /// through others; 0 if it was not heard since the start or the last pause of this host.
     pub heard_ns: MonoNs,
     /// Whether the host was heard recently enough to be used.
     pub is_live: bool,
--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -5,6 +5,7 @@
 //! do next. See `docs/design.md`, sections 4 and 5.
 
 mod address_book;
+mod beat_clock;
 mod bundle_event;
 mod bundle_spread;
 mod controller;
--- a/crates/controllers/src/membership.rs
+++ b/crates/controllers/src/membership.rs
@@ -2,10 +2,11 @@
 //!
 //! It is the only writer of the `hosts` entry; `docs/design.md`, sections 13 and 22.
 //!
-//! Only answers to this host's own questions are signs of life. A question from a peer may have
-//! waited in a socket while this host was paused or cut off, so its age is not known; its records
-//! are taken in, and a peer that was not heard lately is asked in return.
+//! A message may have waited in a socket while this host was paused or cut off. Heartbeats
+//! therefore tell their own age once the host has answered directly; until then only answers to
+//! this host's own questions are signs of life, and a peer that asks is asked in return.
 
+use crate::beat_clock::BEAT_MS;
 use crate::pause::PauseDetector;
 use crate::peer_state::{Mark, PeerState};
 use crate::rotation::Rotation;
@@ -47,8 +48,6 @@
     writer: Writer<HostTable>,
     own: Option<Arc<HostRecord>>,
     own_version: RecordVersion,
-    beat: u64,
-    beat_ns: MonoNs,
     next_round_ns: MonoNs,
     entry_credit: usize,
     peers: BTreeMap<Name, PeerState>,
@@ -70,8 +69,6 @@
                 incarnation: settings.incarnation,
                 sequence: 0,
             },
-            beat: 1,
-            beat_ns: MonoNs(0),
             next_round_ns: MonoNs(0),
             entry_credit: 0,
             peers: BTreeMap::new(),
@@ -148,15 +145,22 @@
         }
     }
 
-    fn hear(&mut self, answering: &Name, digest: &[DigestEntry], at_ns: MonoNs) {
+    /// Takes in heartbeats. `answer` names the host whose answer they came in and the time at which
+    /// it was asked for; it is absent for a question and for an answer from before a pause.
+    fn hear(&mut self, digest: &[DigestEntry], answer: Option<(&Name, MonoNs)>, now_ns: MonoNs) {
         for entry in digest {
-            let Some(peer) = self.peers.get_mut(&entry.host) else {
+            // A heartbeat after a change of the record that has not arrived yet must not count: it
+            // would confirm what the host published before.
+            let peer = self.peers.get_mut(&entry.host);
+            let Some(peer) = peer.filter(|peer| peer.record.version >= entry.version) else {
                 continue;
             };
             let mark = Mark::of(entry);
-            // The answer itself is a sign of life, even between two heartbeats.
-            if entry.host == *answering || (entry.beat > 0 && mark > peer.mark) {
-                peer.hear(mark, at_ns);
+            match answer {
+                Some((answering, asked_ns)) if entry.host == *answering => {
+                    peer.hear_answer(mark, asked_ns);
+                }
+                _ => peer.hear_beat(mark, answer.is_some(), &self.pause, now_ns),
             }
         }
     }
@@ -171,9 +175,9 @@
         let answering = answer.records.first()?.host.clone();
         self.welcome_back(&answer.digest);
         self.merge(own, answer.records, now_ns);
-        if self.pause.counts(ticket.asked_ns) {
-            self.hear(&answering, &answer.digest, ticket.asked_ns);
-        }
+        let is_recent = self.pause.counts(ticket.asked_ns);
+        let asked = is_recent.then_some((&answering, ticket.asked_ns));
+        self.hear(&answer.digest, asked, now_ns);
         if ticket.is_push {
             return None;
         }
@@ -189,6 +193,7 @@
     ) -> Vec<MembershipEffect> {
         self.welcome_back(&request.digest);
         self.merge(&board.host, request.records, now_ns);
+        self.hear(&request.digest, None, now_ns);
         for entry in request.digest.iter().filter(|e| e.host == board.host) {
             self.outbid(entry.version);
         }
@@ -201,7 +206,7 @@
         let answer = ExchangeAnswer { digest, records };
         let mut effects = vec![MembershipEffect::Answer(answer)];
         let asker = self.peers.get(&request.from);
-        if let Some(peer) = asker.filter(|peer| !peer.is_live(now_ns)) {
+        if let Some(peer) = asker.filter(|peer| peer.needs_answer(now_ns)) {
             let peer_addr = peer.record.peer_addr;
             effects.push(self.exchange(&board.host, peer_addr, Vec::new(), false, now_ns));
         }
@@ -276,7 +281,7 @@
         let own_entry = DigestEntry {
             host: own.clone(),
             version: self.own_version,
-            beat: self.beat,
+            beat: beat_at(now_ns),
         };
         let others = self.peers.values().filter_map(|peer| peer.digest(now_ns));
         std::iter::once(own_entry).chain(others).collect()
@@ -313,8 +318,6 @@
             return Vec::new();
         }
         self.next_round_ns = now_ns.plus_ms(ROUND_MS);
-        self.beat += 1;
-        self.beat_ns = now_ns;
         let mut addrs: BTreeSet<SocketAddr> = self.seed_peers.iter().copied().collect();
         addrs.extend(self.listed.iter().map(|listed| listed.peer_addr));
         addrs.extend(self.peers.values().map(|peer| peer.record.peer_addr));
@@ -347,7 +350,7 @@
     fn publish(&mut self, now_ns: MonoNs) {
         let own = self.own.iter().map(|record| HostEntry {
             record: Arc::clone(record),
-            heard_ns: self.beat_ns,
+            heard_ns: MonoNs::from_ms((beat_at(now_ns) - 1) * BEAT_MS),
             is_live: true,
         });
         let peers = self.peers.values().map(|peer| peer.to_entry(now_ns));
@@ -359,6 +362,11 @@
     }
 }
 
+/// Returns the heartbeat of this host, which counts from 1 because 0 stands for none.
+const fn beat_at(now_ns: MonoNs) -> u64 {
+    1 + now_ns.ms_since(MonoNs(0)) / BEAT_MS
+}
+
 /// Returns the own record with the age of the last contact with the store. The version of the
 /// bundle is read after the age, so the contact never counts for an older bundle than it showed.
 fn current_own(own: &HostRecord, board: &Blackboard, now_ns: MonoNs) -> HostRecord {
--- a/crates/controllers/src/peer_state.rs
+++ b/crates/controllers/src/peer_state.rs
@@ -1,14 +1,13 @@
 //! What a host knows of one other host.
 
+use crate::beat_clock::BeatClock;
+use crate::pause::PauseDetector;
 use heatherhinge_blackboard::{DigestEntry, HostEntry, HostRecord};
 use heatherhinge_types::MonoNs;
 use std::sync::Arc;
 
 /// A host heard within this time is live; `docs/design.md`, section 13.
 const LIVE_MS: u64 = 2_000;
-/// A heartbeat is relayed for this time. A host that is cut off is therefore counted as heard for
-/// at most this time plus the 3 s of freshness, which is the limit for a bundle to be in force.
-const RELAY_MS: u64 = 1_000;
 /// A host that is silent for this time and not in the platform's list is forgotten.
 const DROP_MS: u64 = 10_000;
 
@@ -34,7 +33,11 @@
     pub(crate) record: Arc<HostRecord>,
     /// The newest heartbeat that was counted.
     pub(crate) mark: Mark,
-    heard_ns: Option<MonoNs>,
+    clock: Option<BeatClock>,
+    /// Time up to which the host is known to have lived.
+    lived_ns: Option<MonoNs>,
+    /// Arrival of the last sign of life.
+    arrived_ns: Option<MonoNs>,
     /// Start of the silence: the last sign of life, the arrival of the first record, or the end of
     /// a pause of this host.
     silent_since_ns: MonoNs,
@@ -46,24 +49,61 @@
         Self {
             record: Arc::new(record),
             mark,
-            heard_ns: None,
+            clock: None,
+            lived_ns: None,
+            arrived_ns: None,
             silent_since_ns: now_ns,
         }
     }
 
-    /// Takes in a sign of life at `at_ns`.
-    pub(crate) fn hear(&mut self, mark: Mark, at_ns: MonoNs) {
+    /// Takes in the heartbeat in the host's own answer, which was asked for at `asked_ns`. The
+    /// answer is a sign of life even between two heartbeats.
+    pub(crate) fn hear_answer(&mut self, mark: Mark, asked_ns: MonoNs) {
+        self.clock = Some(BeatClock::compare(mark, asked_ns).better(self.clock));
         self.mark = self.mark.max(mark);
-        self.heard_ns = self.heard_ns.max(Some(at_ns));
-        self.silent_since_ns = self.silent_since_ns.max(at_ns);
+        self.lived_ns = self.lived_ns.max(Some(asked_ns));
+        self.arrive(asked_ns);
+    }
+
+    /// Takes in a heartbeat that came through others, or in a question. `is_recent` tells whether
+    /// the message is an answer to a question of this host since its last pause.
+    pub(crate) fn hear_beat(
+        &mut self,
+        mark: Mark,
+        is_recent: bool,
+        pause: &PauseDetector,
+        now_ns: MonoNs,
+    ) {
+        if mark.beat == 0 || mark <= self.mark {
+            return;
+        }
+        match self.clock.and_then(|clock| clock.made_ns(mark, now_ns)) {
+            Some(made_ns) => {
+                if !pause.counts(made_ns) || now_ns > made_ns.plus_ms(DROP_MS) {
+                    return;
+                }
+                self.lived_ns = self.lived_ns.max(Some(made_ns));
+            }
+            // Without the age of the heartbeat, the message must be known to be new.
+            None if !is_recent => return,
+            None => {}
+        }
+        self.mark = mark;
+        self.arrive(now_ns);
     }
 
     /// Forgets what was heard before a pause of this host; silence counts from its end.
     pub(crate) fn void(&mut self, now_ns: MonoNs) {
-        self.heard_ns = None;
+        self.lived_ns = None;
+        self.arrived_ns = None;
         self.silent_since_ns = now_ns;
     }
 
+    /// Returns whether the host has to be asked before its heartbeats tell their age.
+    pub(crate) fn needs_answer(&self, now_ns: MonoNs) -> bool {
+        self.lived_ns.is_none() || !self.is_live(now_ns)
+    }
+
     /// Returns whether the host was heard recently enough to be used.
     pub(crate) fn is_live(&self, now_ns: MonoNs) -> bool {
         self.heard_within(LIVE_MS, now_ns)
@@ -83,11 +123,10 @@
     pub(crate) fn digest(&self, now_ns: MonoNs) -> Option<DigestEntry> {
         // The heartbeat belongs to the run that the record names, or is not told.
         let is_same_run = self.mark.incarnation == self.record.version.incarnation;
-        let tells_beat = is_same_run && self.heard_within(RELAY_MS, now_ns);
         self.is_relayed(now_ns).then(|| DigestEntry {
             host: self.record.host.clone(),
             version: self.record.version,
-            beat: if tells_beat { self.mark.beat } else { 0 },
+            beat: if is_same_run { self.mark.beat } else { 0 },
         })
     }
 
@@ -95,13 +134,18 @@
     pub(crate) fn to_entry(&self, now_ns: MonoNs) -> HostEntry {
         HostEntry {
             record: Arc::clone(&self.record),
-            heard_ns: self.heard_ns.unwrap_or_default(),
+            heard_ns: self.lived_ns.unwrap_or_default(),
             is_live: self.is_live(now_ns),
         }
     }
 
     fn heard_within(&self, limit_ms: u64, now_ns: MonoNs) -> bool {
-        self.heard_ns
-            .is_some_and(|heard| now_ns <= heard.plus_ms(limit_ms))
+        self.arrived_ns
+            .is_some_and(|arrived| now_ns <= arrived.plus_ms(limit_ms))
+    }
+
+    fn arrive(&mut self, at_ns: MonoNs) {
+        self.arrived_ns = self.arrived_ns.max(Some(at_ns));
+        self.silent_since_ns = self.silent_since_ns.max(at_ns);
     }
 }
