--- a/crates/controllers/tests/bundle_faults.rs
+++ b/crates/controllers/tests/bundle_faults.rs
@@ -18,41 +18,6 @@
 /// Hosts in every scenario with a fleet.
 const COUNT: usize = 5;
 
-fn store_down_for_all(fleet: &mut Fleet) {
-    fleet.store_down = fleet.all();
-}
-
-fn one_cut_off(fleet: &mut Fleet) {
-    fleet.far_side = [5].into();
-    fleet.store_down = [5].into();
-}
-
-fn two_cut_off_with_store_down(fleet: &mut Fleet) {
-    fleet.far_side = [4, 5].into();
-    fleet.store_down = fleet.all();
-}
-
-fn half_cut_off_with_store_down(fleet: &mut Fleet) {
-    fleet.stop(5);
-    fleet.far_side = [3, 4].into();
-    fleet.store_down = fleet.all();
-}
-
-fn one_restarts_with_store_down(fleet: &mut Fleet) {
-    fleet.store_down = fleet.all();
-    fleet.restart(3);
-}
-
-fn all_restart_with_store_down(fleet: &mut Fleet) {
-    fleet.store_down = fleet.all();
-    (1..=COUNT).for_each(|host| fleet.stop(host));
-    (1..=COUNT).for_each(|host| fleet.restart(host));
-}
-
-fn one_paused(fleet: &mut Fleet) {
-    fleet.pause(3, 30_000);
-}
-
 fn one_paused_and_cut_off(fleet: &mut Fleet) {
     // The questions that the others sent before the cut wait in the socket of the paused host.
     fleet.pause(3, 30_000);
@@ -66,14 +31,14 @@
 /// after the fault every host has it.
 #[parameterized(
     no_fault = { |_| {}, &[1, 2, 3, 4, 5] },
-    store_down = { store_down_for_all, &[1, 2, 3, 4, 5] },
-    cut_off_from_all = { one_cut_off, &[1, 2, 3, 4] },
-    minority_cut_off = { two_cut_off_with_store_down, &[1, 2, 3] },
-    cut_off_from_half = { half_cut_off_with_store_down, &[] },
-    paused = { one_paused, &[1, 2, 4, 5] },
+    store_down = { |f| f.store_down = f.all(), &[1, 2, 3, 4, 5] },
+    cut_off_from_all = { |f| (f.far_side, f.store_down) = ([5].into(), [5].into()), &[1, 2, 3, 4] },
+    minority_cut_off = { |f| (f.far_side, f.store_down) = ([4, 5].into(), f.all()), &[1, 2, 3] },
+    cut_off_from_half = { |f| { f.stop(5); (f.far_side, f.store_down) = ([3, 4].into(), f.all()) }, &[] },
+    paused = { |f| f.pause(3, 30_000), &[1, 2, 4, 5] },
     paused_and_cut_off = { one_paused_and_cut_off, &[1, 2, 4, 5] },
-    restart_with_store_down = { one_restarts_with_store_down, &[1, 2, 3, 4, 5] },
-    all_restart = { all_restart_with_store_down, &[] },
+    restart_with_store_down = { |f| { f.store_down = f.all(); f.restart(3) }, &[1, 2, 3, 4, 5] },
+    all_restart = { |f| { f.store_down = f.all(); (1..=COUNT).for_each(|h| f.stop(h)); (1..=COUNT).for_each(|h| f.restart(h)) }, &[] },
 )]
 fn fresh_hosts_under_fault(fault: fn(&mut Fleet), fresh: &[usize]) {
     let mut fleet = Fleet::new(COUNT, 1);
--- a/crates/controllers/tests/common/mod.rs
+++ b/crates/controllers/tests/common/mod.rs
@@ -139,8 +139,6 @@
     pub(crate) listed: BTreeSet<usize>,
     /// Changes that an operator would see, one a line.
     pub(crate) log: String,
-    /// Entries of digests that were sent.
-    pub(crate) digest_entries: usize,
 }
 
 impl Fleet {
@@ -153,7 +151,6 @@
             far_side: BTreeSet::new(),
             listed: (1..=count).collect(),
             log: String::new(),
-            digest_entries: 0,
         };
         fleet.note(&format!(
             "{count} hosts start; bundle {accepted} is accepted"
@@ -283,7 +280,6 @@
 
     fn exchange(&mut self, host: usize, effect: MembershipEffect) {
         if let MembershipEffect::Exchange { ticket, request } = effect {
-            self.digest_entries += request.digest.len();
             let peer = usize::from(ticket.peer_addr.port() - 7_000);
             if !self.are_linked(host, peer) || !self.hosts[peer - 1].is_up {
                 return;
@@ -305,7 +301,6 @@
                 self.exchange(to, effect);
                 continue;
             };
-            self.digest_entries += answer.digest.len();
             if self.takes_steps(from) && self.are_linked(from, to) {
                 let contact = PeerContact::from_answer(&ticket, &answer).unwrap();
                 self.work(from, Work::Bundle(BundleEvent::PeerHas(contact)));
--- a/crates/controllers/tests/membership.rs
+++ b/crates/controllers/tests/membership.rs
@@ -88,9 +88,18 @@
         digest.push(entry(*host, 5, *beat));
         records.push(record(*host, 5, 0));
     }
+    answer_of(2, asked_ms, digest, records)
+}
+
+fn answer_of(
+    host: usize,
+    asked_ms: u64,
+    digest: Vec<DigestEntry>,
+    records: Vec<HostRecord>,
+) -> MembershipEvent {
     MembershipEvent::Answered {
         ticket: ExchangeTicket {
-            peer_addr: peer_addr(2),
+            peer_addr: peer_addr(host),
             asked_ns: MonoNs::from_ms(asked_ms),
             is_push: true,
         },
@@ -98,6 +107,13 @@
     }
 }
 
+fn listed(host: usize) -> ListedHost {
+    ListedHost {
+        host: name(host),
+        peer_addr: peer_addr(host),
+    }
+}
+
 fn question(from: usize, digest: Vec<DigestEntry>, records: Vec<HostRecord>) -> MembershipEvent {
     MembershipEvent::Asked(ExchangeRequest {
         from: name(from),
@@ -116,11 +132,7 @@
 )]
 fn silence_of(silent_ms: u64, is_listed: bool, expected: Option<bool>) {
     let mut member = Member::new(5);
-    let listed = ListedHost {
-        host: name(2),
-        peer_addr: peer_addr(2),
-    };
-    let listed = if is_listed { vec![listed] } else { vec![] };
+    let listed = if is_listed { vec![listed(2)] } else { vec![] };
     member.step(0, MembershipEvent::Listed(listed));
     member.answered(100, &[]);
     member.pass(200, 100 + silent_ms);
@@ -253,17 +265,7 @@
 fn member_compared_with_3() -> Member {
     let mut member = Member::new(5);
     member.answered(100, &[(3, 4)]);
-    let answer_of_3 = MembershipEvent::Answered {
-        ticket: ExchangeTicket {
-            peer_addr: peer_addr(3),
-            asked_ns: MonoNs::from_ms(1_000),
-            is_push: true,
-        },
-        answer: ExchangeAnswer {
-            digest: vec![entry(3, 5, 10)],
-            records: vec![record(3, 5, 0)],
-        },
-    };
+    let answer_of_3 = answer_of(3, 1_000, vec![entry(3, 5, 10)], vec![record(3, 5, 0)]);
     member.step(1_000, answer_of_3);
     member
 }
@@ -277,13 +279,7 @@
 )]
 fn heartbeat_in_a_question(at_ms: u64, incarnation: u64, beat: u64, expected: bool) {
     let mut member = member_compared_with_3();
-    member.step(
-        1_000,
-        MembershipEvent::Listed(vec![ListedHost {
-            host: name(3),
-            peer_addr: peer_addr(3),
-        }]),
-    );
+    member.step(1_000, MembershipEvent::Listed(vec![listed(3)]));
     member.pass(1_100, at_ms);
     let digest = vec![entry(3, incarnation, beat)];
     member.step(at_ms, question(2, digest, vec![record(3, incarnation, 0)]));
@@ -320,11 +316,7 @@
 fn rounds_ask_each_peer_equally_often() {
     let rounds = || {
         let mut member = Member::new(5);
-        let listed = (1..=19).map(|host| ListedHost {
-            host: name(host),
-            peer_addr: peer_addr(host),
-        });
-        member.step(0, MembershipEvent::Listed(listed.collect()));
+        member.step(0, MembershipEvent::Listed((1..=19).map(listed).collect()));
         let mut asked: BTreeMap<SocketAddr, usize> = BTreeMap::new();
         let mut order = Vec::new();
         for ms in (500..=9_000).step_by(500) {
--- a/crates/platform/tests/table.rs
+++ b/crates/platform/tests/table.rs
@@ -16,39 +16,34 @@
 /// Delay that no call waits for.
 const FOREVER_MS: u64 = 600_000;
 
-const NO_FAULT: ServiceFaults = ServiceFaults {
-    outage: false,
-    delay_ms: 0,
-    lost_before_effect_next: 0,
-    lost_after_effect_next: 0,
-    lost_after_effect_permille: 0,
-    malformed_next: 0,
-    seed: 0,
-};
-const OUTAGE: ServiceFaults = ServiceFaults {
-    outage: true,
-    ..NO_FAULT
-};
-const SLOW: ServiceFaults = ServiceFaults {
-    delay_ms: FOREVER_MS,
-    ..NO_FAULT
-};
-const LOST_BEFORE: ServiceFaults = ServiceFaults {
-    lost_before_effect_next: 1,
-    ..NO_FAULT
-};
-const LOST_AFTER: ServiceFaults = ServiceFaults {
-    lost_after_effect_next: 1,
-    ..NO_FAULT
-};
+const NO_FAULT: ServiceFaults = faults(false, 0, 0, 0, 0);
+const OUTAGE: ServiceFaults = faults(true, 0, 0, 0, 0);
+const SLOW: ServiceFaults = faults(false, FOREVER_MS, 0, 0, 0);
+const LOST_BEFORE: ServiceFaults = faults(false, 0, 1, 0, 0);
+const LOST_AFTER: ServiceFaults = faults(false, 0, 0, 1, 0);
 const ALWAYS_LOST: ServiceFaults = ServiceFaults {
     lost_after_effect_permille: 1_000,
     ..NO_FAULT
 };
-const MALFORMED: ServiceFaults = ServiceFaults {
-    malformed_next: 1,
-    ..NO_FAULT
-};
+const MALFORMED: ServiceFaults = faults(false, 0, 0, 0, 1);
+
+const fn faults(
+    outage: bool,
+    delay_ms: u64,
+    lost_before: u32,
+    lost_after: u32,
+    malformed: u32,
+) -> ServiceFaults {
+    ServiceFaults {
+        outage,
+        delay_ms,
+        lost_before_effect_next: lost_before,
+        lost_after_effect_next: lost_after,
+        lost_after_effect_permille: 0,
+        malformed_next: malformed,
+        seed: 0,
+    }
+}
 
 fn switch(platform: &RunningPlatform, faults: ServiceFaults) {
     platform.set_faults(FaultSettings {
