--- a/crates/controllers/src/lib.rs
+++ b/crates/controllers/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod address_book;
 mod adoption;
+mod beat_clock;
 mod bundle_event;
 mod bundle_spread;
 mod controller;
