--- a/crates/blackboard/src/counters.rs
+++ b/crates/blackboard/src/counters.rs
@@ -21,6 +21,7 @@
 pub struct HostStatus {
     phase: AtomicU8,
     fresh_until_ns: AtomicU64,
+    store_heard_ns: AtomicU64,
 }
 
 impl HostStatus {
@@ -50,10 +51,31 @@
     pub fn set_fresh_until(&self, until_ns: MonoNs) {
         self.fresh_until_ns.store(until_ns.0, Ordering::Release);
     }
+
+    /// Returns the age of the last contact with the store, directly or through peers, in
+    /// milliseconds; the largest number if there was none since the start or the last pause.
+    #[must_use]
+    pub fn store_age_ms(&self, now_ns: MonoNs) -> u64 {
+        match self.store_heard_ns.load(Ordering::Acquire) {
+            0 => u64::MAX,
+            // A part of a millisecond counts whole, so that adding up ages never makes one younger.
+            heard_ns => now_ns.ns_since(MonoNs(heard_ns)).div_ceil(1_000_000),
+        }
+    }
+
+    /// Sets the time of the last contact with the store, 0 for none; only the bundle controller
+    /// does so.
+    pub fn set_store_heard(&self, heard_ns: MonoNs) {
+        self.store_heard_ns.store(heard_ns.0, Ordering::Release);
+    }
 }
 
+/// Retry credit of a service that was not used before, in thousandths: two retries, so that the
+/// first requests are not refused for one target that is down.
+const RETRY_CREDIT_START_PERMILLE: u64 = 2_000;
+
 /// Counters of one service on one host.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct ServiceCounters {
     /// Whole answers passed on.
     pub successes: AtomicU64,
@@ -69,6 +91,19 @@
     pub service_time_ns: AtomicU64,
 }
 
+impl Default for ServiceCounters {
+    fn default() -> Self {
+        Self {
+            successes: AtomicU64::new(0),
+            refusals: AtomicU64::new(0),
+            retries: AtomicU64::new(0),
+            waiting: AtomicU64::new(0),
+            retry_credit_permille: AtomicU64::new(RETRY_CREDIT_START_PERMILLE),
+            service_time_ns: AtomicU64::new(0),
+        }
+    }
+}
+
 /// Counters of one host.
 #[derive(Debug, Default)]
 pub struct Counters {
--- a/crates/blackboard/src/lib.rs
+++ b/crates/blackboard/src/lib.rs
@@ -8,8 +8,10 @@
 mod board;
 mod counters;
 mod entry;
+mod exchange;
 mod host_record;
 mod host_table;
+mod move_counters;
 mod move_table;
 mod owner_table;
 mod quarantine_table;
@@ -21,10 +23,12 @@
 pub use board::{Blackboard, Writers};
 pub use counters::{Counters, HostPhase, HostStatus, ServiceCounters};
 pub use entry::{Reader, Snapshot, Versioned, Writer, entry};
+pub use exchange::{DigestEntry, ExchangeAnswer, ExchangeRequest};
 pub use host_record::{
     Evidence, HostRecord, MoveVerdict, Quarantine, RecordVersion, Spend, WarmTarget,
 };
 pub use host_table::{HostEntry, HostTable};
+pub use move_counters::{MoveCounters, RouteCounters, VersionCounters};
 pub use move_table::{MoveEntry, MoveState, MoveTable};
 pub use owner_table::{Owner, OwnerTable};
 pub use quarantine_table::QuarantineTable;
--- a/crates/policy/src/plan.rs
+++ b/crates/policy/src/plan.rs
@@ -39,6 +39,9 @@
     /// Number of the attempt as the caller states it, from 1. Above 1 the system does not retry,
     /// so that layers of retries do not multiply.
     pub caller_attempt: u32,
+    /// The side of a version move that the request was counted for; `None` before its first
+    /// choice. A request is counted once, however often it is waited for or retried.
+    pub is_new_version: Option<bool>,
 }
 
 /// Plans a request, or returns the code with which it is refused.
@@ -57,7 +60,7 @@
         .service
         .routes
         .iter()
-        .find(|route| matches_route(route, facts.method, rest))
+        .find(|route| route.matches(facts.method.as_str(), rest))
         .ok_or(Code::UnknownRoute)?;
     let is_idempotent = route
         .idempotent
@@ -75,6 +78,7 @@
         urgency: urgency(facts.headers, route),
         deadline_ns: now_ns.plus_ms(deadline_ms),
         caller_attempt: number(facts.headers, header::ATTEMPT).unwrap_or(1),
+        is_new_version: None,
     })
 }
 
@@ -87,11 +91,6 @@
     }
 }
 
-fn matches_route(route: &Route, method: &Method, rest: &str) -> bool {
-    let method_matches = route.methods.is_empty() || route.methods.contains(method.as_str());
-    method_matches && rest.starts_with(&route.prefix)
-}
-
 fn deadline_ms(headers: &HeaderMap, route: &Route) -> Result<u64, Code> {
     match headers.get(header::DEADLINE_MS) {
         None => Ok(route.deadline_ms),
