Read load profiles with the ini crate

Cause: the profile reader split lines itself and stopped at the first mistake; the crate ini is there now. Change: Profile::parse reads a document of heatherhinge-ini and returns all problems with file, line and field. Numbers have bounds.

--- a/crates/load/src/main.rs
+++ b/crates/load/src/main.rs
@@ -7,6 +7,7 @@
 use heatherhinge_load::profile::Profile;
 use heatherhinge_load::run::{AddressList, Direct, HttpClient, RunLimits, RunReport};
 use heatherhinge_load::run::{compare, run_load};
+use heatherhinge_types::Name;
 use options::{Command, Experiment, Goal, Output, RunOptions};
 use serde::Serialize;
 use std::process::ExitCode;
@@ -39,11 +40,7 @@
 /// Runs load and returns whether the error share is within its bound.
 #[tokio::main]
 async fn run(options: &RunOptions) -> eyre::Result<bool> {
-    let text = std::fs::read_to_string(&options.profile)
-        .map_err(|error| eyre::eyre!("load: {}: {error}", options.profile.display()))?;
-    let profile: Profile = text
-        .parse()
-        .map_err(|error| eyre::eyre!("load: {}: {error}", options.profile.display()))?;
+    let profile = read_profile(options)?;
     if !(options.rate_factor.is_finite() && options.rate_factor > 0.0) {
         eyre::bail!("load: --rate-factor must be above 0");
     }
@@ -75,6 +72,16 @@
     }
 }
 
+fn read_profile(options: &RunOptions) -> eyre::Result<Profile> {
+    let file = Name::from(options.profile.display().to_string());
+    let text = std::fs::read_to_string(&options.profile)
+        .map_err(|error| eyre::eyre!("load: {file}: {error}"))?;
+    Profile::parse(&file, &text).map_err(|problems| {
+        let lines: Vec<_> = problems.iter().map(|p| format!("load: {p}")).collect();
+        eyre::eyre!(lines.join("\n"))
+    })
+}
+
 async fn entry_hosts(options: &RunOptions) -> eyre::Result<AddressList> {
     let seeds = match &options.goal {
         Goal::Entry { entry } => entry.clone(),
--- a/crates/load/src/profile.rs
+++ b/crates/load/src/profile.rs
@@ -1,16 +1,23 @@
 //! Load profiles: mixes of routes with their rates, read from INI text.
 
-use heatherhinge_types::Urgency;
+use heatherhinge_ini::{Document, Problem, Section};
+use heatherhinge_types::{Name, Urgency};
 use http::Method;
-use ini_core::{Item, Parser};
-use std::fmt;
-use std::str::FromStr;
+
+/// Most arrivals per second of one route.
+const RATE_MAX_PER_S: f64 = 1_000_000.0;
+/// Largest request body in bytes.
+const BODY_MAX_BYTES: u64 = 16 * 1024 * 1024;
+/// Longest deadline in milliseconds.
+const DEADLINE_MAX_MS: u64 = 3_600_000;
+/// Most resends of one request.
+const RESENDS_MAX: u64 = 100;
 
 /// A mix of routes.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Profile {
     /// Name, for reports.
-    pub name: String,
+    pub name: Name,
     /// Routes with their rates.
     pub routes: Vec<RouteMix>,
 }
@@ -19,7 +26,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct RouteMix {
     /// Name, for reports.
-    pub name: String,
+    pub name: Name,
     /// Method.
     pub method: Method,
     /// Path; its first segment names the service.
@@ -38,134 +45,99 @@
     pub resends: u32,
 }
 
-/// An error of a profile, with its line.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub struct ProfileError {
-    /// Line, counted from 1.
-    pub line: usize,
-    /// What is wrong.
-    pub message: String,
-}
-
-impl fmt::Display for ProfileError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "line {}: {}", self.line, self.message)
-    }
-}
-
-impl std::error::Error for ProfileError {}
-
-impl RouteMix {
-    fn new(name: &str) -> Self {
-        Self {
-            name: name.to_owned(),
-            method: Method::GET,
-            path: String::new(),
-            rate_per_s: 0.0,
-            body_bytes: 0,
-            urgency: Urgency::DEFAULT,
-            deadline_ms: 10_000,
-            non_idempotent_permille: 0,
-            resends: 0,
+impl Profile {
+    /// Reads a profile. `file` is the name that problems carry.
+    ///
+    /// # Errors
+    ///
+    /// Returns all problems of the text.
+    pub fn parse(file: &Name, text: &str) -> Result<Self, Vec<Problem>> {
+        let (sections, mut problems) = Document::parse(file, text).into_parts();
+        let mut name = None;
+        let mut routes = Vec::new();
+        for mut section in sections {
+            match section.words() {
+                [kind] if &**kind == "profile" => name = section.take_name("name"),
+                [kind, _] if &**kind == "route" => routes.extend(read_route(&mut section)),
+                _ => section.report_section("only [profile] and [route NAME] are known".to_owned()),
+            }
+            problems.extend(section.finish());
         }
-    }
-
-    fn set(&mut self, key: &str, value: &str) -> Result<(), String> {
-        match key {
-            "method" => self.method = parsed(key, value)?,
-            "path" if value.starts_with('/') => value.clone_into(&mut self.path),
-            "path" => return Err("path must start with a slash".to_owned()),
-            "rate_per_s" => self.rate_per_s = parsed(key, value)?,
-            "body_bytes" => self.body_bytes = parsed(key, value)?,
-            "urgency" => {
-                self.urgency = Urgency::new(parsed(key, value)?)
-                    .ok_or_else(|| "urgency must be 0 to 7".to_owned())?;
+        match name {
+            Some(name) if problems.is_empty() && !routes.is_empty() => Ok(Self { name, routes }),
+            _ => {
+                if problems.is_empty() {
+                    problems.push(Problem {
+                        file: file.clone(),
+                        line: 0,
+                        field: Name::new(""),
+                        message: "a profile needs [profile] and at least one [route NAME]"
+                            .to_owned(),
+                    });
+                }
+                problems.sort();
+                Err(problems)
             }
-            "deadline_ms" => self.deadline_ms = parsed(key, value)?,
-            "non_idempotent_permille" => self.non_idempotent_permille = parsed(key, value)?,
-            "resends" => self.resends = parsed(key, value)?,
-            _ => return Err(format!("unknown key {key:?} in a route")),
         }
-        Ok(())
     }
 
-    fn check(&self) -> Result<(), String> {
-        if self.path.is_empty() {
-            return Err(format!("route {:?} has no path", self.name));
-        }
-        if !self.rate_per_s.is_finite() || self.rate_per_s <= 0.0 {
-            return Err(format!("route {:?} needs a rate_per_s above 0", self.name));
-        }
-        Ok(())
+    /// Returns the mean arrivals per second of all routes.
+    #[must_use]
+    pub fn rate_per_s(&self) -> f64 {
+        self.routes.iter().map(|route| route.rate_per_s).sum()
     }
 }
 
-fn parsed<T: FromStr>(key: &str, value: &str) -> Result<T, String> {
-    value
-        .parse()
-        .map_err(|_| format!("{key} cannot be {value:?}"))
+/// Reads one route; `None` after a problem with a field that has no default.
+fn read_route(section: &mut Section) -> Option<RouteMix> {
+    let name = section.header_name(1);
+    let method = section.take_or("method", Method::GET, |section, field| {
+        section.take_with(field, read_method)
+    });
+    let path = section.take_with("path", read_path);
+    let rate_per_s = section.take_with("rate_per_s", read_rate);
+    let urgency = number_or(section, "urgency", Urgency::DEFAULT.level().into(), 7);
+    let small = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+    Some(RouteMix {
+        method,
+        urgency: u8::try_from(urgency)
+            .ok()
+            .and_then(Urgency::new)
+            .unwrap_or(Urgency::DEFAULT),
+        body_bytes: usize::try_from(number_or(section, "body_bytes", 0, BODY_MAX_BYTES)).ok()?,
+        deadline_ms: number_or(section, "deadline_ms", 10_000, DEADLINE_MAX_MS),
+        non_idempotent_permille: small(number_or(section, "non_idempotent_permille", 0, 1_000)),
+        resends: small(number_or(section, "resends", 0, RESENDS_MAX)),
+        name: name?,
+        path: path?,
+        rate_per_s: rate_per_s?,
+    })
 }
 
-impl FromStr for Profile {
-    type Err = ProfileError;
-
-    fn from_str(text: &str) -> Result<Self, ProfileError> {
-        let mut profile = Self {
-            name: String::new(),
-            routes: Vec::new(),
-        };
-        let mut line = 0;
-        for item in Parser::new(text) {
-            // The end of a section is an item without a line of its own.
-            line += usize::from(!matches!(item, Item::SectionEnd));
-            profile
-                .take(&item)
-                .map_err(|message| ProfileError { line, message })?;
-        }
-        profile
-            .check()
-            .map_err(|message| ProfileError { line, message })?;
-        Ok(profile)
-    }
+fn number_or(section: &mut Section, field: &str, default: u64, max: u64) -> u64 {
+    section.take_or(field, default, |section, field| {
+        section.take_u64(field, 0..=max)
+    })
 }
 
-impl Profile {
-    fn take(&mut self, item: &Item<'_>) -> Result<(), String> {
-        match item {
-            Item::Section("profile") => Ok(()),
-            Item::Section(section) => match section.strip_prefix("route ") {
-                Some(name) => {
-                    self.routes.push(RouteMix::new(name.trim()));
-                    Ok(())
-                }
-                None => Err(format!("unknown section [{section}]")),
-            },
-            Item::Property(key, value) => {
-                let (key, value) = (key.trim(), value.unwrap_or_default().trim());
-                match self.routes.last_mut() {
-                    Some(route) => route.set(key, value),
-                    None if key == "name" => {
-                        value.clone_into(&mut self.name);
-                        Ok(())
-                    }
-                    None => Err(format!("unknown key {key:?} in [profile]")),
-                }
-            }
-            Item::Error(text) => Err(format!("{text:?} cannot be read")),
-            Item::SectionEnd | Item::Comment(_) | Item::Blank => Ok(()),
-        }
-    }
+fn read_method(text: &str) -> Result<Method, String> {
+    text.parse()
+        .map_err(|_| format!("'{text}' is not a method"))
+}
 
-    fn check(&self) -> Result<(), String> {
-        if self.routes.is_empty() {
-            return Err("a profile needs at least one [route NAME]".to_owned());
-        }
-        self.routes.iter().try_for_each(RouteMix::check)
+fn read_path(text: &str) -> Result<String, String> {
+    if text.starts_with('/') {
+        Ok(text.to_owned())
+    } else {
+        Err(format!("'{text}' does not start with a slash"))
     }
+}
 
-    /// Returns the mean arrivals per second of all routes.
-    #[must_use]
-    pub fn rate_per_s(&self) -> f64 {
-        self.routes.iter().map(|route| route.rate_per_s).sum()
+fn read_rate(text: &str) -> Result<f64, String> {
+    match text.parse() {
+        Ok(rate) if rate > 0.0 && rate <= RATE_MAX_PER_S => Ok(rate),
+        _ => Err(format!(
+            "'{text}' is not a number above 0 and at most {RATE_MAX_PER_S}"
+        )),
     }
 }
--- a/crates/load/src/run/report.rs
+++ b/crates/load/src/run/report.rs
@@ -4,6 +4,7 @@
 use crate::plot::{Line, Plot};
 use crate::profile::Profile;
 use hdrhistogram::Histogram;
+use heatherhinge_types::Name;
 use serde::Serialize;
 use std::collections::BTreeMap;
 use std::fmt::Write as _;
@@ -45,7 +46,7 @@
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct RunReport {
     /// Name of the profile.
-    pub profile: String,
+    pub profile: Name,
     /// Seed of the arrivals.
     pub seed: u64,
     /// Length of the run in milliseconds.
@@ -73,7 +74,7 @@
     /// Latency of all good answers.
     pub latency: LatencySummary,
     /// Latency by route.
-    pub routes: BTreeMap<String, LatencySummary>,
+    pub routes: BTreeMap<Name, LatencySummary>,
 }
 
 impl RunReport {
