Remove links to private items from the documentation of Weighted

Change: the text states the two numbers instead. Measured: cargo doc over the workspace passes with warnings denied; before, it failed with 2 errors. No behaviour changes.

--- a/crates/policy/src/weighted.rs
+++ b/crates/policy/src/weighted.rs
@@ -23,13 +23,13 @@
 /// latency of a target begins to fade.
 const RECENT_MS: u64 = 500;
 
-/// Chooses the lowest product of own load, slowness and failures among up to [`CHOICES`] targets
+/// Chooses the lowest product of own load, slowness and failures among up to 32 targets
 /// that have room.
 ///
 /// - Load is this host's own requests in flight. What a report says of other hosts' requests only
 ///   decides whether there is room: a host hears from a target more rarely than a request lasts,
 ///   so a ranking by reports sends hosts to the same targets and rewards targets that lie.
-/// - Slowness is the latency as a multiple of the median, if it is above [`SLOW_RATIO`].
+/// - Slowness is the latency as a multiple of the median, if it is above 2.
 /// - A target that fails fast looks idle, so failures in a row multiply its cost.
 /// - Among equals, the target that answered longest ago is chosen, which spaces out the requests
 ///   that it gets from this host.
