--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -3,7 +3,7 @@
 //! It is the only writer of the `owners` entry; `docs/design.md`, sections 6 and 22.
 
 use crate::adoption::{Adoption, tenure_of};
-use crate::host_lease::{HostLease, LeaseContext, LeaseEvent, State};
+use crate::host_lease::{HostLease, LeaseContext, LeaseEnd, LeaseEvent, State};
 use crate::recording::record_of;
 use crate::rendezvous::preferred;
 use crate::takeover::Takeover;
@@ -269,6 +269,16 @@
         Some(OwnershipEffect::Read { id })
     }
 
+    /// Returns the epoch and the end of the lease that the entry shows.
+    ///
+    /// While the host releases its lease it owns nothing any more, so that it cannot grant claims
+    /// after it has handed them over.
+    fn held(&self) -> Option<(u64, LeaseEnd)> {
+        let is_releasing = *self.lease.state() == (State::Releasing {});
+        let current = self.lease.current().filter(|_| !is_releasing);
+        current.map(|(row, end)| (row.epoch, end))
+    }
+
     fn owner_of(&self, row: &PartitionRow, is_held: bool) -> Option<Owner> {
         let host = self.rows.hosts.get(&row.owner)?;
         let is_own = row.owner == self.me.host;
@@ -287,11 +297,7 @@
 
     /// Publishes the entry and returns the adoptions and records that follow from the change.
     fn publish(&mut self, board: &Blackboard, received: bool, now: Now) -> Vec<OwnershipEffect> {
-        // While the host releases its lease it owns nothing any more, so that it cannot grant
-        // claims after it has handed them over.
-        let is_releasing = *self.lease.state() == (State::Releasing {});
-        let held = self.lease.current().filter(|_| !is_releasing);
-        let held = held.map(|(row, end)| (row.epoch, end));
+        let held = self.held();
         let mut table = OwnerTable::default();
         if let Some((_, end)) = held {
             table.own_lease_until_wall_ms = end.wall_ms;
@@ -344,11 +350,16 @@
         now: Now,
     ) -> Vec<OwnershipEffect> {
         let received = matches!(event, OwnershipEvent::ClaimsReceived { .. });
+        let is_tick = matches!(event, OwnershipEvent::Tick);
+        let held_before = self.held();
         let lease_event = self.take_event(event, now);
         let mut effects = self.step_lease(board, &lease_event, now);
         effects.extend(self.plan_takes(board, now));
         effects.extend(self.plan_read(now));
-        effects.extend(self.publish(board, received, now));
+        // The rows change by other events only, so most ticks leave the entry as it is.
+        if !is_tick || held_before != self.held() {
+            effects.extend(self.publish(board, received, now));
+        }
         effects
     }
 }
--- a/crates/model/src/process.rs
+++ b/crates/model/src/process.rs
@@ -26,6 +26,7 @@
     pub(crate) claims: ClaimTable,
     board: Arc<Blackboard>,
     hosts: Writer<HostTable>,
+    live: Vec<usize>,
     controller: OwnershipController,
     rules: Rules,
     /// The attempt that each claim was granted to last, for runs without the rule on attempts.
@@ -59,6 +60,7 @@
             claims: ClaimTable::new(limits),
             board,
             hosts,
+            live: Vec::new(),
             controller: OwnershipController::new(owners, me, now),
             rules,
             granted: BTreeMap::new(),
@@ -67,6 +69,10 @@
 
     /// Publishes which other hosts are live.
     pub(crate) fn set_live(&mut self, live: &[usize]) {
+        if self.live == live {
+            return;
+        }
+        self.live = live.to_vec();
         let entries = live.iter().map(|index| {
             let entry = HostEntry {
                 record: Arc::new(host_record(*index)),
@@ -75,7 +81,7 @@
             };
             (host_name(*index), entry)
         });
-        self.hosts.publish_if_changed(HostTable {
+        self.hosts.publish(HostTable {
             hosts: entries.collect(),
         });
     }
