Leave lapsed leases alone right after a store outage

Cause: after an outage longer than the lease, the first host to reach the store ended the epochs of hosts that were about to renew; their keys were then refused. Change: partitions of others are taken only when the store has answered for 3 s. Conclusion: an outage costs the time that no lease is valid, and no keys after it.

--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -125,7 +125,10 @@
         self.first_valid_read = self.next_id + 1;
         match result {
             WriteResult::Applied => {}
-            WriteResult::Down => self.write_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS),
+            WriteResult::Down => {
+                self.write_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS);
+                self.takeover.note_outage(now);
+            }
             WriteResult::Conflict | WriteResult::Unknown => {
                 self.is_in_doubt = true;
                 self.write_after_ns = now.mono_ns.plus_ms(WRITE_BACKOFF_MS);
@@ -148,6 +151,7 @@
             OwnershipEvent::ReadFailed { id } => {
                 self.read.take_if(|read| *read == id);
                 self.read_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS);
+                self.takeover.note_outage(now);
                 None
             }
             OwnershipEvent::Written { id, result } => self.take_result(id, result, now),
--- a/crates/controllers/src/takeover.rs
+++ b/crates/controllers/src/takeover.rs
@@ -13,8 +13,9 @@
 const RANK_WAIT_MS: u64 = 10_000;
 
 /// Partitions of others are left alone this long after the start, so that the other hosts are
-/// heard first and the first host to start does not take every partition.
-const START_WAIT_MS: u64 = 3_000;
+/// heard first and the first host to start does not take every partition. The same holds after
+/// the store could not be reached, so that the others can renew the leases that lapsed meanwhile.
+const STEADY_MS: u64 = 3_000;
 
 /// Who owns a partition, as far as the rows tell.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -41,7 +42,8 @@
 /// Plans takeovers, one transaction at a time.
 #[derive(Debug)]
 pub(crate) struct Takeover {
-    started_ns: MonoNs,
+    /// Start of the process, or the last time that the store could not be reached.
+    steady_since_ns: MonoNs,
     /// Since when each partition has been seen free to take.
     free_since_ns: BTreeMap<Partition, MonoNs>,
 }
@@ -49,11 +51,16 @@
 impl Takeover {
     pub(crate) const fn new(started: Now) -> Self {
         Self {
-            started_ns: started.mono_ns,
+            steady_since_ns: started.mono_ns,
             free_since_ns: BTreeMap::new(),
         }
     }
 
+    /// Takes in that the store could not be reached.
+    pub(crate) const fn note_outage(&mut self, now: Now) {
+        self.steady_since_ns = now.mono_ns;
+    }
+
     /// Returns the next transaction, or an empty one if there is nothing to take.
     ///
     /// The partitions of one transaction have the same owner before, so that at most two host
@@ -108,7 +115,7 @@
         }
         let since_ns = *self.free_since_ns.entry(partition).or_insert(now.mono_ns);
         let rank = rank(partition, me, live.iter());
-        now.mono_ns.ms_since(self.started_ns) >= START_WAIT_MS
+        now.mono_ns.ms_since(self.steady_since_ns) >= STEADY_MS
             && now.mono_ns.ms_since(since_ns) >= rank * RANK_WAIT_MS
     }
 }
--- a/crates/controllers/tests/ownership.rs
+++ b/crates/controllers/tests/ownership.rs
@@ -226,6 +226,25 @@
     );
 }
 
+/// Guards against the first host to reach the store after an outage taking the partitions of
+/// hosts that are about to renew.
+#[test]
+fn lapsed_leases_are_left_alone_right_after_an_outage() {
+    let (mut store, mut first) = owner_of_all();
+    let mut second = Host::new(1, addr(3), &[], at(0));
+    second.run(&mut store, 0, 8_000);
+    second.fault = Fault::Down;
+    second.run(&mut store, 8_250, 30_000);
+    second.fault = Fault::None;
+    second.run(&mut store, 30_250, 32_000);
+    first.run(&mut store, 32_250, 32_250);
+    second.run(&mut store, 32_250, 40_000);
+    assert_eq!(
+        (first.owned(at(32_250)), second.owned(at(40_000))),
+        (256, 0)
+    );
+}
+
 /// Guards against a restarted host that waits for its own lease, and against a second process of
 /// the same name elsewhere that does not.
 #[test]
