--- a/crates/blackboard/src/routing.rs
+++ b/crates/blackboard/src/routing.rs
@@ -1,9 +1,9 @@
 //! What the path of a request reads: one consistent snapshot.
 
-use crate::{ServiceCounters, TargetCell};
+use crate::{MoveCounters, ServiceCounters, TargetCell};
 use heatherhinge_bundle::{BundleVersion, Service};
-use heatherhinge_types::Name;
-use std::collections::BTreeMap;
+use heatherhinge_types::{Name, Partition};
+use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// The versions of the entries that a routing snapshot was made from, for decision records.
@@ -37,6 +37,8 @@
     pub service: Arc<Service>,
     /// Counters, which outlive the snapshot.
     pub counters: Arc<ServiceCounters>,
+    /// Counters of the move under way, if any, which outlive the snapshot too.
+    pub move_counters: Option<Arc<MoveCounters>>,
     /// The versions that take traffic, the main one first. A second one is there during a move.
     pub pools: Vec<VersionPool>,
 }
@@ -52,6 +54,9 @@
     pub warm: Vec<Arc<TargetCell>>,
     /// Targets that are not warm and whose allowance this host may use as their owner.
     pub cold: Vec<ColdTarget>,
+    /// Partitions of the targets that are not warm and that other hosts own. A host that has no
+    /// target of its own passes requests to one of these owners.
+    pub elsewhere: BTreeSet<Partition>,
 }
 
 /// A target that is not warm.
--- /dev/null
+++ b/crates/controllers/examples/support/setup.rs
@@ -0,0 +1,138 @@
+//! A user's size, the conditions of a run, and the bundle that it starts with.
+
+use super::fixtures::{self, at};
+use heatherhinge_bundle::{Bundle, VersionMove, ZoneState};
+use heatherhinge_types::Name;
+use std::sync::Arc;
+
+/// Share of an unproven version.
+pub const CAP_PERMILLE: u32 = 20;
+
+/// What is wrong with the new version.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Fault {
+    /// Nothing.
+    None,
+    /// Every answer fails.
+    Broken,
+    /// One answer in five fails.
+    Fails,
+    /// Answers take twice as long.
+    Slow,
+    /// One answer in five fails, from the 90th second on.
+    FailsLater,
+    /// Three answers in ten fail once more than 30% of the calls go to it.
+    UnderLoad,
+    /// Three answers in ten fail on the last route.
+    OneRoute,
+}
+
+/// A user's size and the conditions of a run.
+#[derive(Clone, Debug)]
+pub struct Setup {
+    /// Entry hosts.
+    pub hosts: usize,
+    /// Availability zones.
+    pub zones: usize,
+    /// Targets of each version.
+    pub targets: usize,
+    /// Calls per second over all hosts.
+    pub calls_per_s: f64,
+    /// Routes with their share of the calls.
+    pub routes: Vec<(&'static str, f64)>,
+    /// What is wrong with the new version.
+    pub fault: Fault,
+    /// Whether neighbouring workloads disturb zones and targets.
+    pub is_noisy: bool,
+    /// From when to when the store is down, in milliseconds.
+    pub store_down_ms: (u64, u64),
+    /// Writes of which the answer is lost, in thousandths.
+    pub answers_lost_permille: u32,
+    /// When the leader is paused for 40 s, if it is.
+    pub leader_paused_ms: Option<u64>,
+    /// Length of the move in milliseconds.
+    pub move_ms: u64,
+    /// New answers that a step needs.
+    pub min_samples: u32,
+    /// Seed of the run.
+    pub seed: u64,
+}
+
+impl Setup {
+    /// The orders of Vatuwaqa Bronze & Chime Works.
+    pub fn vatuwaqa(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            hosts: 16,
+            zones: 3,
+            targets: 25,
+            calls_per_s: 400.0,
+            routes: vec![("stock", 0.6), ("sheets", 0.25), ("casting", 0.15)],
+            fault,
+            is_noisy,
+            store_down_ms: (0, 0),
+            answers_lost_permille: 0,
+            leader_paused_ms: None,
+            move_ms: 600_000,
+            min_samples: 300,
+            seed,
+        }
+    }
+
+    /// The patterns of Vatuwaqa: few targets and calls, and an hour for the move.
+    pub fn patterns(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            targets: 5,
+            calls_per_s: 40.0,
+            routes: vec![("find", 0.7), ("download", 0.3)],
+            move_ms: 3_600_000,
+            min_samples: 100,
+            ..Self::vatuwaqa(fault, is_noisy, seed)
+        }
+    }
+
+    /// The bookings of Kozhikode Koop Rentals.
+    pub fn kozhikode(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            hosts: 19,
+            zones: 4,
+            targets: 30,
+            calls_per_s: 500.0,
+            routes: vec![("availability", 0.7), ("history", 0.2), ("booking", 0.1)],
+            ..Self::vatuwaqa(fault, is_noisy, seed)
+        }
+    }
+
+    /// The fieldkit of Kozhikode: few targets and calls, and an hour for the move.
+    pub fn fieldkit(fault: Fault, is_noisy: bool, seed: u64) -> Self {
+        Self {
+            targets: 10,
+            calls_per_s: 80.0,
+            routes: vec![("manuals", 0.6), ("photos", 0.4)],
+            move_ms: 3_600_000,
+            min_samples: 100,
+            ..Self::kozhikode(fault, is_noisy, seed)
+        }
+    }
+}
+
+/// Name of a zone.
+pub fn zone(index: usize) -> Name {
+    Name::from(format!("zone{index}"))
+}
+
+/// A bundle with or without a move.
+pub fn bundle(setup: &Setup, version: u64, move_id: Option<&str>) -> Arc<Bundle> {
+    let version_move = move_id.map(|id| VersionMove {
+        id: Name::from(id),
+        from: Name::from("v1"),
+        to: Name::from("v2"),
+        end_wall_ms: at(setup.move_ms).wall_ms,
+        cap_permille: CAP_PERMILLE,
+        min_samples: setup.min_samples,
+    });
+    let zones: Vec<_> = (0..setup.zones)
+        .map(|index| (zone(index), ZoneState::In))
+        .collect();
+    let routes: Vec<_> = setup.routes.iter().map(|(name, _)| *name).collect();
+    fixtures::bundle(version, &zones, &routes, version_move)
+}
--- a/crates/controllers/src/warmup.rs
+++ b/crates/controllers/src/warmup.rs
@@ -32,6 +32,7 @@
     tenures: Tenures,
     bundle: BundleVersion,
     zone_since: BTreeMap<Name, BundleVersion>,
+    returned: BTreeMap<Name, BundleVersion>,
     announced: Vec<WarmTarget>,
     is_cut_off: bool,
     refreshed_ns: MonoNs,
@@ -71,6 +72,7 @@
             tenures: Tenures::default(),
             bundle: BundleVersion::default(),
             zone_since: BTreeMap::new(),
+            returned: BTreeMap::new(),
             announced: Vec::new(),
             is_cut_off: false,
             refreshed_ns: MonoNs(0),
@@ -158,8 +160,8 @@
         let Some(target) = self.targets.get(&name) else {
             return;
         };
-        let is_old = run.is_some_and(|run| target.run().is_some_and(|known| known != run));
-        if is_old {
+        // The loss of a run that has ended is known; of any other run it is evidence.
+        if run.is_some_and(|run| target.is_retired(run)) {
             return;
         }
         let report = ColdReport {
@@ -177,7 +179,7 @@
         let known = target.run();
         let is_news = match (report.new_run, report.lost_run) {
             (Some(new), _) => known != Some(new) && target.see_run(new, 0).is_some(),
-            (None, Some(lost)) => known.is_none_or(|known| known == lost),
+            (None, Some(lost)) => !target.is_retired(lost),
             (None, None) => true,
         };
         if is_news {
@@ -199,10 +201,11 @@
         };
         let owners = board.owners.read();
         let owner = owners.value.owner(target.partition);
+        let known = target.run().filter(|_| report.new_run.is_none());
         let was_warm = target.turn_cold();
         let owner_record = owner.and_then(|owner| record_of_host(board, &owner.host));
         target.distrust = Some(Distrust {
-            run: report.lost_run,
+            runs: [report.lost_run, known],
             until_ns: now.mono_ns.plus_ms(REPORT_ROUND_MS),
             record: owner_record.map_or(RecordVersion::default(), |record| record.version),
         });
@@ -245,7 +248,7 @@
                 target.turn_cold(); // A new owner starts again at 1.
             }
             if !holds {
-                let since = self.zone_since.get(&target.zone).copied();
+                let since = self.returned.get(&target.zone).copied();
                 hear(
                     board,
                     target,
@@ -275,17 +278,25 @@
         }
     }
 
-    /// Targets of a zone that comes back count as cold, whatever was announced before.
+    /// Targets of a zone that comes back count as cold, whatever was announced before. A change
+    /// without a return means that this host may have missed one: then only what it announces
+    /// itself is in doubt.
     fn refresh_zones(&mut self, board: &Blackboard) {
         let zones = board.zones.read();
         for (zone, entry) in &zones.value.zones {
-            let known = self.zone_since.get(zone).copied().unwrap_or_default();
-            if entry.phase != ZonePhase::Returning || entry.since <= known {
+            let before = self.zone_since.insert(zone.clone(), entry.since);
+            let is_return = entry.phase == ZonePhase::Returning;
+            let is_new = before.map_or(is_return, |before| entry.since > before);
+            if !is_new || entry.phase == ZonePhase::Out {
                 continue;
             }
-            self.zone_since.insert(zone.clone(), entry.since);
+            if is_return {
+                self.returned.insert(zone.clone(), entry.since);
+            }
             for target in self.targets.values_mut().filter(|t| t.zone == *zone) {
-                target.turn_cold();
+                if is_return || self.tenures.is_own(target.partition) {
+                    target.turn_cold();
+                }
             }
         }
     }
--- a/crates/controllers/tests/warmup.rs
+++ b/crates/controllers/tests/warmup.rs
@@ -29,12 +29,7 @@
 impl Bench {
     fn new(owner: usize) -> Self {
         let (board, mut writers) = Blackboard::new(host(0), Name::from("north"));
-        writers.bundle.publish(Some(bundle(
-            1,
-            &[("north", ZoneState::In)],
-            &["read"],
-            None,
-        )));
+        writers.bundle.publish(Some(bundle(1, ZoneState::In, None)));
         writers.owners.publish(owned_by(&host(owner), at(60_000)));
         let (_, spare) = heatherhinge_blackboard::entry(Default::default());
         let warmth = std::mem::replace(&mut writers.warmth, spare);
@@ -190,6 +185,7 @@
 #[test]
 fn lease_end_and_peer_reports() {
     let mut bench = Bench::new(0);
+    bench.answer(5, AnswerKind::Good, 6, 4_000);
     bench.answer(10, AnswerKind::Good, 7, 4_000);
     let report = |lost, new| {
         WarmupEvent::Reported(ColdReport {
--- a/crates/peer/src/peers.rs
+++ b/crates/peer/src/peers.rs
@@ -1,9 +1,9 @@
 //! What a host asks of other hosts.
 
-use crate::{ColdReport, CrashReport, PeerError};
-use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest};
+use crate::{ColdReport, CrashAnswer, CrashReport, PeerError};
+use heatherhinge_blackboard::{ExchangeAnswer, ExchangeRequest, Quarantine};
 use heatherhinge_claims::{ClaimAnswer, ClaimRequest, HandedPartition, SettleAnswer, Settlement};
-use heatherhinge_types::Digest;
+use heatherhinge_types::{Digest, Name};
 use std::future::Future;
 use std::net::SocketAddr;
 
@@ -41,6 +41,14 @@
         addr: SocketAddr,
         report: CrashReport,
         deadline_ms: u64,
+    ) -> impl Future<Output = Result<CrashAnswer, PeerError>> + Send;
+
+    /// Tells a host to hold back the requests of a quarantine, and waits until it does.
+    fn hold_back(
+        &self,
+        addr: SocketAddr,
+        quarantine: Quarantine,
+        deadline_ms: u64,
     ) -> impl Future<Output = Result<(), PeerError>> + Send;
 
     /// Reports to the owner of a digest that such a request got a good answer.
@@ -75,4 +83,13 @@
         report: ColdReport,
         deadline_ms: u64,
     ) -> impl Future<Output = Result<(), PeerError>> + Send;
+
+    /// Tells the leader of a move that `from` has stopped sending to the new version.
+    fn brake(
+        &self,
+        addr: SocketAddr,
+        move_id: Name,
+        from: Name,
+        deadline_ms: u64,
+    ) -> impl Future<Output = Result<(), PeerError>> + Send;
 }
--- a/crates/proxy/src/sender.rs
+++ b/crates/proxy/src/sender.rs
@@ -3,14 +3,11 @@
 use crate::attempt::{AttemptResult, TargetClient, attempt_request, send};
 use crate::call::{Call, Held};
 use crate::headers::AttemptHeaders;
-use crate::{Clock, Limits, Observation, Observer, Peers, Sign};
-use heatherhinge_blackboard::{Blackboard, TargetCell};
+use crate::{Clock, Observation, Observer, Peers, Sign};
+use heatherhinge_blackboard::{Blackboard, RouteCounters, TargetCell};
 use heatherhinge_policy::AttemptOutcome;
 use heatherhinge_records::RecordEvent;
 use heatherhinge_types::{Code, MonoNs};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,19 +28,8 @@
         peers: Arc<Q>,
         observer: O,
         clock: Clock,
-        limits: &Limits,
+        client: TargetClient,
     ) -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        connector.set_connect_timeout(Some(Duration::from_millis(limits.connect_ms)));
-        // The library's own resend is off: a request on a connection that the target has just
-        // closed may have run.
-        let client = Client::builder(TokioExecutor::new())
-            .retry_canceled_requests(false)
-            .pool_timer(TokioTimer::new())
-            .pool_idle_timeout(limits.idle())
-            .pool_max_idle_per_host(limits.idle_connections)
-            .build(connector);
         Self {
             board,
             client,
@@ -99,7 +85,7 @@
         let request = attempt_request(
             &call.head,
             body,
-            target,
+            target.addr,
             &call.trace,
             headers,
             &mut call.rng,
@@ -169,12 +155,31 @@
                 },
             );
         }
-        self.peers.succeeded(call.digest).await;
+        if let Some(route) = move_route(call) {
+            let (is_new, is_cold) = (held.chosen.is_new_version, held.chosen.is_cold);
+            route.count_good(is_new, result.latency_ns, is_cold);
+        }
+        if self
+            .board
+            .quarantine
+            .read()
+            .value
+            .suspects
+            .contains(&call.digest)
+        {
+            self.peers.succeeded(call.digest).await;
+        }
     }
 
     async fn learn_failure(&self, call: &Call, held: &Held, result: &AttemptResult, now: MonoNs) {
         let target = held.chosen.in_flight.target();
         target.record_failure(now);
+        // A shed request says that the target is full, not that its version is bad.
+        if result.outcome != AttemptOutcome::Shed
+            && let Some(route) = move_route(call)
+        {
+            route.count_failed(held.chosen.is_new_version);
+        }
         if held.chosen.is_cold {
             self.observe(target, Sign::ColdFailure);
         }
@@ -201,3 +206,12 @@
         });
     }
 }
+
+fn move_route(call: &Call) -> Option<&RouteCounters> {
+    call.plan
+        .targets
+        .move_counters
+        .as_ref()?
+        .routes
+        .get(&call.plan.route.name)
+}
