Read owners less and less while doubts find nothing new

Cause: while a host is gone, every keyed request for its partitions doubts the owners entry, so each host would scan all rows each 0.2 s for up to a lease: about 335 KB/s on a host at 446 rows of 150 bytes, worked out, against a budget of 21 KB/s. Change: the interval of doubted reads doubles from 0.2 s up to the usual interval and starts again when the partitions change.

--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -62,6 +62,8 @@
     is_in_doubt: bool,
     /// Whether a reader found the entry out of date.
     is_doubted: bool,
+    /// Time between two reads while the entry is doubted.
+    doubt_interval_ms: u64,
     last_read_ns: Option<MonoNs>,
     read_after_ns: MonoNs,
     write_after_ns: MonoNs,
@@ -95,6 +97,7 @@
             first_valid_read: 0,
             is_in_doubt: true,
             is_doubted: false,
+            doubt_interval_ms: DOUBTED_READ_INTERVAL_MS,
             last_read_ns: None,
             read_after_ns: MonoNs(0),
             write_after_ns: MonoNs(0),
@@ -114,6 +117,13 @@
         if id < self.first_valid_read || self.write.is_some() {
             return None;
         }
+        // While an owner is gone, every request for its partitions doubts the entry until its
+        // lease has lapsed; reads that find nothing new become rarer, to spare the store.
+        if self.rows.partitions != rows.partitions {
+            self.doubt_interval_ms = DOUBTED_READ_INTERVAL_MS;
+        } else if self.is_doubted {
+            self.doubt_interval_ms = self.doubt_interval_ms.saturating_mul(2);
+        }
         self.rows = rows;
         self.is_in_doubt = false;
         self.is_doubted = false;
@@ -258,12 +268,13 @@
     fn plan_read(&mut self, now: Now) -> Option<OwnershipEffect> {
         let rows = self.rows.hosts.len() + self.rows.partitions.len();
         let rows = u64::try_from(rows).unwrap_or(u64::MAX);
+        let usual_ms = READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS));
         let interval_ms = if self.is_doubted {
-            DOUBTED_READ_INTERVAL_MS
+            usual_ms.min(self.doubt_interval_ms)
         } else if self.adoption.expects_takeover(&self.rows) {
             READ_INTERVAL_MS
         } else {
-            READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS))
+            usual_ms
         };
         let is_due = self.is_in_doubt
             || self
--- a/crates/controllers/tests/ownership.rs
+++ b/crates/controllers/tests/ownership.rs
@@ -36,6 +36,7 @@
     fault: Fault,
     late: Vec<Vec<RowWrite>>,
     writes: usize,
+    reads: usize,
 }
 
 impl Host {
@@ -58,6 +59,7 @@
             fault: Fault::None,
             late: Vec::new(),
             writes: 0,
+            reads: 0,
         }
     }
 
@@ -77,6 +79,7 @@
                         events.push(OwnershipEvent::ReadFailed { id });
                     }
                     OwnershipEffect::Read { id } => {
+                        self.reads += 1;
                         let rows = store.clone();
                         events.push(OwnershipEvent::RowsRead { id, rows });
                     }
@@ -344,6 +347,30 @@
     }
 }
 
+/// Guards against a dead owner whose requests make every host read all rows five times a second
+/// until the lease has lapsed, and against a slow answer to the first doubt after a change.
+#[test]
+fn doubts_that_find_nothing_new_read_less_and_less() {
+    let (mut store, mut first) = owner_of_all();
+    let doubt = |first: &mut Host, store: &mut OwnershipRows, ms| {
+        first.reads = 0;
+        for ms in (ms..ms + 60_000).step_by(100) {
+            first.step(store, OwnershipEvent::Doubted, at(ms));
+        }
+        first.reads
+    };
+    let reads = doubt(&mut first, &mut store, 8_100);
+    assert!(
+        (12..=18).contains(&reads),
+        "{reads} reads in a minute of doubts"
+    );
+    store.partitions.remove(&Partition(9));
+    first.run(&mut store, 68_100, 76_000);
+    first.reads = 0;
+    first.step(&mut store, OwnershipEvent::Doubted, at(76_250));
+    assert_eq!(first.reads, 1);
+}
+
 /// Guards against a preferred host without a store that holds free partitions back, and against
 /// every host grabbing at once.
 #[test]
