--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -3,7 +3,7 @@
 //! It is the only writer of the `owners` entry; `docs/design.md`, sections 6 and 22.
 
 use crate::adoption::{Adoption, tenure_of};
-use crate::host_lease::{HostLease, LeaseContext, LeaseEvent, State};
+use crate::host_lease::{HostLease, LeaseContext, LeaseEnd, LeaseEvent, State};
 use crate::recording::record_of;
 use crate::rendezvous::preferred;
 use crate::takeover::Takeover;
@@ -62,6 +62,8 @@
     is_in_doubt: bool,
     /// Whether a reader found the entry out of date.
     is_doubted: bool,
+    /// Time between two reads while the entry is doubted.
+    doubt_interval_ms: u64,
     last_read_ns: Option<MonoNs>,
     read_after_ns: MonoNs,
     write_after_ns: MonoNs,
@@ -95,6 +97,7 @@
             first_valid_read: 0,
             is_in_doubt: true,
             is_doubted: false,
+            doubt_interval_ms: DOUBTED_READ_INTERVAL_MS,
             last_read_ns: None,
             read_after_ns: MonoNs(0),
             write_after_ns: MonoNs(0),
@@ -114,6 +117,13 @@
         if id < self.first_valid_read || self.write.is_some() {
             return None;
         }
+        // While an owner is gone, every request for its partitions doubts the entry until its
+        // lease has lapsed; reads that find nothing new become rarer, to spare the store.
+        if self.rows.partitions != rows.partitions {
+            self.doubt_interval_ms = DOUBTED_READ_INTERVAL_MS;
+        } else if self.is_doubted {
+            self.doubt_interval_ms = self.doubt_interval_ms.saturating_mul(2);
+        }
         self.rows = rows;
         self.is_in_doubt = false;
         self.is_doubted = false;
@@ -129,7 +139,10 @@
         self.first_valid_read = self.next_id + 1;
         match result {
             WriteResult::Applied => {}
-            WriteResult::Down => self.write_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS),
+            WriteResult::Down => {
+                self.write_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS);
+                self.takeover.note_outage(now);
+            }
             WriteResult::Conflict | WriteResult::Unknown => {
                 self.is_in_doubt = true;
                 self.write_after_ns = now.mono_ns.plus_ms(WRITE_BACKOFF_MS);
@@ -152,6 +165,7 @@
             OwnershipEvent::ReadFailed { id } => {
                 self.read.take_if(|read| *read == id);
                 self.read_after_ns = now.mono_ns.plus_ms(STORE_BACKOFF_MS);
+                self.takeover.note_outage(now);
                 None
             }
             OwnershipEvent::Written { id, result } => self.take_result(id, result, now),
@@ -254,9 +268,13 @@
     fn plan_read(&mut self, now: Now) -> Option<OwnershipEffect> {
         let rows = self.rows.hosts.len() + self.rows.partitions.len();
         let rows = u64::try_from(rows).unwrap_or(u64::MAX);
-        let interval_ms = match self.is_doubted {
-            true => DOUBTED_READ_INTERVAL_MS,
-            false => READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS)),
+        let usual_ms = READ_INTERVAL_MS.max(rows.saturating_mul(READ_INTERVAL_PER_ROW_MS));
+        let interval_ms = if self.is_doubted {
+            usual_ms.min(self.doubt_interval_ms)
+        } else if self.adoption.expects_takeover(&self.rows) {
+            READ_INTERVAL_MS
+        } else {
+            usual_ms
         };
         let is_due = self.is_in_doubt
             || self
@@ -272,6 +290,16 @@
         Some(OwnershipEffect::Read { id })
     }
 
+    /// Returns the epoch and the end of the lease that the entry shows.
+    ///
+    /// While the host releases its lease it owns nothing any more, so that it cannot grant claims
+    /// after it has handed them over.
+    fn held(&self) -> Option<(u64, LeaseEnd)> {
+        let is_releasing = *self.lease.state() == (State::Releasing {});
+        let current = self.lease.current().filter(|_| !is_releasing);
+        current.map(|(row, end)| (row.epoch, end))
+    }
+
     fn owner_of(&self, row: &PartitionRow, is_held: bool) -> Option<Owner> {
         let host = self.rows.hosts.get(&row.owner)?;
         let is_own = row.owner == self.me.host;
@@ -290,11 +318,7 @@
 
     /// Publishes the entry and returns the adoptions and records that follow from the change.
     fn publish(&mut self, board: &Blackboard, received: bool, now: Now) -> Vec<OwnershipEffect> {
-        // While the host releases its lease it owns nothing any more, so that it cannot grant
-        // claims after it has handed them over.
-        let is_releasing = *self.lease.state() == (State::Releasing {});
-        let held = self.lease.current().filter(|_| !is_releasing);
-        let held = held.map(|(row, end)| (row.epoch, end));
+        let held = self.held();
         let mut table = OwnerTable::default();
         if let Some((_, end)) = held {
             table.own_lease_until_wall_ms = end.wall_ms;
@@ -347,11 +371,16 @@
         now: Now,
     ) -> Vec<OwnershipEffect> {
         let received = matches!(event, OwnershipEvent::ClaimsReceived { .. });
+        let is_tick = matches!(event, OwnershipEvent::Tick);
+        let held_before = self.held();
         let lease_event = self.take_event(event, now);
         let mut effects = self.step_lease(board, &lease_event, now);
         effects.extend(self.plan_takes(board, now));
         effects.extend(self.plan_read(now));
-        effects.extend(self.publish(board, received, now));
+        // The rows change by other events only, so most ticks leave the entry as it is.
+        if !is_tick || held_before != self.held() {
+            effects.extend(self.publish(board, received, now));
+        }
         effects
     }
 }
