--- a/crates/controllers/src/targets.rs
+++ b/crates/controllers/src/targets.rs
@@ -9,8 +9,8 @@
     ServiceTargets, TargetCell, VersionPool, Warmth, WarmthTable, Writer, ZoneTable,
 };
 use heatherhinge_bundle::Service;
-use heatherhinge_types::{Name, Now};
-use std::collections::BTreeMap;
+use heatherhinge_types::{Name, Now, Partition};
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -183,6 +183,7 @@
             share_permille,
             warm: Vec::new(),
             cold: Vec::new(),
+            elsewhere: BTreeSet::new(),
         };
         for (cell, target) in self.by_service.get(&service.name).into_iter().flatten() {
             let is_usable = target.version == pool.version
@@ -192,14 +193,18 @@
                 continue;
             }
             match warmth.get(&cell.id) {
-                // The run in the cell may be older than the one that was announced warm: a host
-                // that gets no answers from a target cannot see its new run.
+                // The cell may know an earlier or a later run than the one announced. The warmup
+                // controller hears of every new run, so its word decides.
                 Warmth::Warm { .. } => pool.warm.push(Arc::clone(cell)),
-                Warmth::Owned { allowance } => pool.cold.push(ColdTarget {
-                    cell: Arc::clone(cell),
-                    allowance,
-                }),
-                Warmth::NotOwned => {}
+                Warmth::Owned { allowance } => {
+                    pool.cold.push(ColdTarget {
+                        cell: Arc::clone(cell),
+                        allowance,
+                    });
+                }
+                Warmth::NotOwned => {
+                    pool.elsewhere.insert(Partition::of_name(&cell.id));
+                }
             }
         }
         pool
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -74,6 +74,7 @@
     BadRequestHead = 1006, BAD_REQUEST, No, "The request head is malformed or its lengths conflict.";
     HeadTooLarge = 1007, REQUEST_HEADER_FIELDS_TOO_LARGE, No, "The request head is larger than allowed.";
     BrokenRequestBody = 1008, BAD_REQUEST, No, "The request body ended before its stated length.";
+    RequestBodyCut = 1009, BAD_REQUEST, Unknown, "The request body broke off while a target was reading it.";
     BadKey = 1101, BAD_REQUEST, No, "The idempotency key is not a UUID of version 7.";
     KeyFromFuture = 1102, BAD_REQUEST, Unknown, "The idempotency key was issued in the future by this host's clock.";
     KeyTooOld = 1103, CONFLICT, Unknown, "The idempotency key is older than claims are kept.";
@@ -110,6 +111,7 @@
     StoreUnavailable = 2301, SERVICE_UNAVAILABLE, Unknown, "The platform's store cannot be reached.";
     StoreConflict = 2302, CONFLICT, No, "The condition of a write did not hold.";
     StoreMalformed = 2303, BAD_GATEWAY, Unknown, "The platform's answer cannot be read.";
+    StoreOutcomeUnknown = 2304, GATEWAY_TIMEOUT, Unknown, "The answer to a write was lost; the write may have taken effect.";
     PeerMalformed = 2401, BAD_REQUEST, No, "A message from another host cannot be read.";
     PeerUnavailable = 2402, SERVICE_UNAVAILABLE, Unknown, "Another host cannot be reached.";
     RecordNotFound = 2501, NOT_FOUND, No, "No record of this request or move was found.";
