Wait in the whole-path tests until every target is warm

Cause: after a zone was taken out the remaining targets could be cold, and a new owner waits for the work of the owner before; a request was then refused with 1203 (not run), which is allowed. The test took this for a failure in 1 of 5 runs. Change: the tests send requests until each target has answered some before they begin, so they check what they are meant to check.

--- a/crates/entryd/tests/fleet/mod.rs
+++ b/crates/entryd/tests/fleet/mod.rs
@@ -221,6 +221,18 @@
         }
     }
 
+    /// Sends requests through every host until each target has answered some and so is warm.
+    pub async fn until_warm(&self, path: &str) {
+        let start = Instant::now();
+        let is_cold = |target: &Target| target.counters().ran == 0;
+        while self.targets.iter().any(is_cold) {
+            for host in self.hosts.keys() {
+                self.get(host, path).await;
+            }
+            assert!(start.elapsed() < PATIENCE, "a target got no request");
+        }
+    }
+
     /// Waits until all partitions have an owner among the hosts.
     pub async fn until_owned(&self) {
         let start = Instant::now();
--- a/crates/entryd/tests/whole_path.rs
+++ b/crates/entryd/tests/whole_path.rs
@@ -63,6 +63,7 @@
         })
         .await;
     fleet.until_owned().await;
+    fleet.until_warm("/orders/stock").await;
     fleet.until_answered("/orders/stock", StatusCode::OK).await;
     // Keys that are issued within twice the clock error of a change of owner are refused.
     tokio::time::sleep(std::time::Duration::from_millis(2 * CLOCK_ERROR_MS)).await;
