--- a/crates/load/src/run/compare.rs
+++ b/crates/load/src/run/compare.rs
@@ -1,9 +1,10 @@
 //! The time that an entry host adds, measured in one run.
 
 use super::report::ms;
-use super::{Alternating, Destination, Direct, RunLimits, RunReport, run_load};
+use super::{Alternating, Destination, Direct, LatencySummary, RunLimits, RunReport, run_load};
 use crate::profile::Profile;
 use serde::Serialize;
+use std::fmt::Write as _;
 use std::net::SocketAddr;
 
 /// Both sides of a run whose requests went alternately through an entry host and directly.
@@ -20,25 +21,43 @@
 }
 
 impl Comparison {
-    /// Returns the comparison as Markdown.
+    /// Returns the comparison as a Markdown table, by route and for all requests.
     #[must_use]
     pub fn to_markdown(&self) -> String {
-        let side = |report: &RunReport| {
-            let latency = report.latency;
-            let (p50, p99) = (ms(latency.p50_us), ms(latency.p99_us));
-            format!("{} | {} | {p50:.3} | {p99:.3}", report.due, report.good)
-        };
-        format!(
-            "| Path | Due | Good | p50 ms | p99 ms |\n|---|--:|--:|--:|--:|\n\
-             | through entry hosts | {} |\n| directly | {} |\n| added | | | {:.3} | {:.3} |\n",
-            side(&self.through),
-            side(&self.direct),
-            self.added_p50_us as f64 / 1_000.0,
-            self.added_p99_us as f64 / 1_000.0
-        )
+        let mut text = "| Route | Good through entry hosts | p50 ms | p99 ms | Good directly \
+                        | p50 ms | p99 ms | Added p50 ms | Added p99 ms |\n\
+                        |---|--:|--:|--:|--:|--:|--:|--:|--:|\n"
+            .to_owned();
+        for (name, through) in &self.through.routes {
+            if let Some(direct) = self.direct.routes.get(name) {
+                push_row(&mut text, name, through, direct);
+            }
+        }
+        push_row(
+            &mut text,
+            "all",
+            &self.through.latency,
+            &self.direct.latency,
+        );
+        text
     }
 }
 
+fn push_row(text: &mut String, name: &str, through: &LatencySummary, direct: &LatencySummary) {
+    let side = |latency: &LatencySummary| {
+        let (p50, p99) = (ms(latency.p50_us), ms(latency.p99_us));
+        format!("{} | {p50:.2} | {p99:.2}", latency.count)
+    };
+    let _ = writeln!(
+        text,
+        "| {name} | {} | {} | {:.2} | {:.2} |",
+        side(through),
+        side(direct),
+        ms(through.p50_us) - ms(direct.p50_us),
+        ms(through.p99_us) - ms(direct.p99_us)
+    );
+}
+
 /// Sends one schedule alternately to both sides.
 ///
 /// # Errors
--- a/crates/load/tests/run.rs
+++ b/crates/load/tests/run.rs
@@ -119,7 +119,11 @@
     let result = result.unwrap();
     assert_eq!((result.through.good, result.direct.good), (30, 30));
     assert_eq!((near.counters().ran, far.counters().ran), (30, 30));
-    assert!(result.to_markdown().contains("| added |"));
+    let table = result.to_markdown();
+    assert!(
+        table.lines().any(|line| line.starts_with("| all | 30 |")),
+        "{table}"
+    );
 }
 
 /// Guards against load that is not spread, or that stays on hosts that are no longer named.
