Do not promise "not run" for a key before its owner was asked

Cause: a host that is not fresh, has no bundle or has no room refused a booking with "not run" although an earlier attempt with the same key may have run through another host. Change: refusals before the claim say "unknown" for requests with a key, other than for a malformed key.

--- a/crates/entryd/tests/whole_path.rs
+++ b/crates/entryd/tests/whole_path.rs
@@ -77,6 +77,11 @@
     let fleet = fleet().await;
     let early = fleet.get("entry-a", "/orders/stock").await;
     assert_eq!(early.header("heatherhinge-ran"), "no", "{early:?}");
+    let early = fleet
+        .post("entry-a", "/orders/booking", new_key(0), "one bell")
+        .await;
+    // An earlier attempt with the key may have run through another host.
+    assert_eq!(early.header("heatherhinge-ran"), "unknown", "{early:?}");
     drop(fleet);
 
     let fleet = serving().await;
--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -6,11 +6,12 @@
 use crate::claimed::{STORED_BODY_MAX_BYTES, replay, stored_answer};
 use crate::dispatcher::Dispatcher;
 use crate::headers::Trace;
+use crate::refusal::{Refused, refusal};
 use crate::relay::{Relay, RelayHost};
 use crate::request::RequestBody;
 use crate::sender::Sender;
 use crate::story::Story;
-use crate::{AnswerBody, Clock, Limits, Observer, Peers, ServerBody, refusal};
+use crate::{AnswerBody, Clock, Limits, Observer, Peers, ServerBody};
 use heatherhinge_blackboard::{Blackboard, HostPhase};
 use heatherhinge_claims::{AttemptId, ClaimAnswer, ClaimRequest, Outcome, Settlement};
 use heatherhinge_policy::{
@@ -139,7 +140,7 @@
             .accept(head, body, trace, claim_attempt, rng)
             .instrument(span)
             .await;
-        let mut response = answer.unwrap_or_else(|code| refusal(code, &id));
+        let mut response = answer.unwrap_or_else(|refused| refusal(refused, &id));
         if let Ok(value) = HeaderValue::from_str(&id) {
             response.headers_mut().insert(header::REQUEST_ID, value);
         }
@@ -154,7 +155,7 @@
         trace: Trace,
         claim_attempt: AttemptId,
         rng: Pcg64Mcg,
-    ) -> Result<Response<ServerBody>, Code> {
+    ) -> Result<Response<ServerBody>, Refused> {
         let now = self.clock.now();
         let basis = self.board.routing.read().value.basis;
         let mut story = Story::new(trace.request_id.clone(), self.board.host.clone());
@@ -169,7 +170,7 @@
                     },
                 );
                 story.finish(&self.records);
-                return Err(code);
+                return Err(Refused::before_claim(code, &head.headers));
             }
         };
         let mut call = Call {
@@ -190,11 +191,11 @@
             return self.run_elsewhere(call, &host).await;
         }
         let Some(key) = call.plan.key else {
-            return self.run(call).await;
+            return Ok(self.run(call).await?);
         };
         // A claimed request goes on when its caller has left, so that a resend finds its answer.
         let task = tokio::spawn(self.run_claimed(key, claim_attempt, call).in_current_span());
-        task.await.unwrap_or(Err(Code::TargetBroke))
+        Ok(task.await.unwrap_or(Err(Code::TargetBroke))?)
     }
 
     async fn read(
@@ -231,12 +232,15 @@
         &self,
         mut call: Call,
         host: &RelayHost,
-    ) -> Result<Response<ServerBody>, Code> {
+    ) -> Result<Response<ServerBody>, Refused> {
         let result = self.relay.pass(&mut call, host).await;
+        let result = result.map_err(|code| (code, Refused::before_claim(code, &call.head.headers)));
         let status = result.as_ref().map(|response| response.status().as_u16());
-        self.close_story(call, status.map_err(|code| *code));
+        self.close_story(call, status.map_err(|(code, _)| *code));
         let idle = self.limits.idle();
-        result.map(|response| response.map(|body| AnswerBody::passed_on(body, idle).into()))
+        result
+            .map(|response| response.map(|body| AnswerBody::passed_on(body, idle).into()))
+            .map_err(|(_, refused)| refused)
     }
 
     /// Runs a request that needs no claim and passes its answer on.
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -32,5 +32,4 @@
 pub use limits::Limits;
 pub use observer::{NullObserver, Observation, Observer, Sign};
 pub use peers::{NoPeers, Peers};
-pub use refusal::refusal;
 pub use server::{Server, ServerHandle};
--- a/crates/proxy/src/refusal.rs
+++ b/crates/proxy/src/refusal.rs
@@ -1,10 +1,41 @@
 //! The answer that tells a caller of a refusal.
 
 use crate::ServerBody;
-use heatherhinge_types::{Code, Name, header};
-use http::{HeaderValue, Response};
+use heatherhinge_types::{Code, Name, Ran, header};
+use http::{HeaderMap, HeaderValue, Response};
 use serde::Serialize;
 
+/// A refusal, with what is known of the request having run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) struct Refused {
+    code: Code,
+    ran: Ran,
+}
+
+impl From<Code> for Refused {
+    fn from(code: Code) -> Self {
+        Self {
+            code,
+            ran: code.ran(),
+        }
+    }
+}
+
+impl Refused {
+    /// Makes a refusal that was decided before the owner of the key was asked.
+    ///
+    /// An earlier attempt with the same key may have run through another host, so such a refusal
+    /// does not say "not run". A malformed key is refused by every host and never runs.
+    pub(crate) fn before_claim(code: Code, headers: &HeaderMap) -> Self {
+        let has_key = headers.contains_key(header::IDEMPOTENCY_KEY) && code != Code::BadKey;
+        let least = if has_key { Ran::Unknown } else { Ran::No };
+        Self {
+            code,
+            ran: code.ran().max(least),
+        }
+    }
+}
+
 /// Body of a refusal.
 #[derive(Debug, Serialize)]
 struct RefusalBody<'a> {
@@ -16,10 +47,11 @@
 
 /// Makes the answer for a refusal.
 #[must_use]
-pub fn refusal(code: Code, request_id: &Name) -> Response<ServerBody> {
+pub(crate) fn refusal(refused: Refused, request_id: &Name) -> Response<ServerBody> {
+    let Refused { code, ran } = refused;
     let body = RefusalBody {
         code: code.number(),
-        ran: code.ran().as_str(),
+        ran: ran.as_str(),
         message: code.text(),
         request_id,
     };
@@ -33,7 +65,7 @@
         HeaderValue::from_static("application/json"),
     );
     headers.insert(header::CODE, HeaderValue::from(code.number()));
-    headers.insert(header::RAN, HeaderValue::from_static(code.ran().as_str()));
+    headers.insert(header::RAN, HeaderValue::from_static(ran.as_str()));
     // An entry host further up must not repeat what this one has already tried.
     headers.insert(header::RETRIED, HeaderValue::from_static("1"));
     if let Ok(value) = HeaderValue::from_str(request_id) {
