Test again a profile without a path and with an open bracket

Change: both cases are back in the table of mistakes. Conclusion: the reader refused both mistakes all along; only the cases were gone.

--- a/crates/load/tests/profile.rs
+++ b/crates/load/tests/profile.rs
@@ -29,6 +29,8 @@
     bad_urgency = { "; calls\n[route b]\npath = /b\nrate_per_s = 1\nurgency = 8\n", "p.ini:5: urgency: 8 is not within 0 to 7" },
     bad_path = { "[route b]\nrate_per_s = 1\npath = b\n", "p.ini:3: path: 'b' does not start with a slash" },
     no_rate = { "[profile]\nname = a\n[route b]\npath = /b\n", "p.ini:3: rate_per_s: the field is missing in [route b]" },
+    no_path = { "[profile]\nname = a\n[route b]\nrate_per_s = 1\n", "p.ini:3: path: the field is missing in [route b]" },
+    open_bracket = { "[profile]\nname = a\n[route b\n", "p.ini:3: '[route b' is neither a section in brackets, a 'field = value' nor a comment that starts with ';'" },
     no_route = { "[profile]\nname = a\n", "p.ini:0: a profile needs [profile] and at least one [route NAME]" },
 )]
 fn mistake_is_named_with_its_line(text: &str, problem: &str) {
