Measure claims, single messages and load in the sizing tool

Cause: the memory of a claim was measured with refused claims, and the capacity page needs the bytes of each announcement.

--- a/crates/sizing/src/lib.rs
+++ b/crates/sizing/src/lib.rs
@@ -13,6 +13,7 @@
 mod fleet_host;
 mod local;
 pub mod memory;
+mod messages;
 mod point;
 mod report;
 mod samples;
--- a/crates/sizing/src/main.rs
+++ b/crates/sizing/src/main.rs
@@ -30,7 +30,7 @@
         #[bpaf(argument("FILE"))]
         json: Option<PathBuf>,
     },
-    /// Measures the resident memory of the parts of one host
+    /// Measures the resident memory of the parts of one host and the bytes of single messages
     #[bpaf(command)]
     Memory {
         #[bpaf(external(size))]
--- a/crates/sizing/src/memory.rs
+++ b/crates/sizing/src/memory.rs
@@ -1,11 +1,13 @@
-//! Resident memory of the parts of one host.
+//! Resident memory of the parts of one host, and the bytes of single messages.
 //!
 //! Each part is made in several copies that all stay alive, and the growth of the resident size is
 //! divided by the copies. A counting allocator would need unsafe code, which the workspace forbids.
 
 use crate::{Fleet, Size, world};
 use heatherhinge_blackboard::{Blackboard, WarmthTable};
-use heatherhinge_claims::{ClaimLimits, ClaimRequest, ClaimTable, Tenure};
+use heatherhinge_claims::{
+    ClaimLimits, ClaimRequest, ClaimTable, Outcome, Settlement, StoredAnswer, Tenure,
+};
 use heatherhinge_controllers::{Controller, TargetController, TargetEvent};
 use heatherhinge_records::{
     Record, RecordBasis, RecordEvent, RecordRing, Sampler, Subject, json_lines,
@@ -53,7 +55,11 @@
 ///
 /// Fails when `/proc/self/statm` cannot be read or the synthetic bundle is not valid.
 pub fn measure(size: Size) -> eyre::Result<Vec<Part>> {
-    let (claim, claims) = grow("claim", 1, |_| Ok(claim_table()))?;
+    let (claim, claims) = grow(
+        "claim, half of them with a stored answer of 400 bytes",
+        1,
+        |_| Ok(claim_table()),
+    )?;
     let (ring, rings) = grow("record in memory", 1, |_| Ok(record_ring()))?;
     let (bundle, bundles) = grow("bundle", 20, |_| world::bundle(size, 1))?;
     let (envelope, envelopes) = grow("envelope", 20, |_| Ok(world::envelope(size, 1)))?;
@@ -65,7 +71,7 @@
     let per_host = fleet.bytes / size.hosts as f64;
     // Everything is held until here, so that no part is made in the freed memory of another.
     drop((claims, rings, bundles, envelopes, routings, fleets));
-    Ok(vec![
+    let mut parts = vec![
         Part {
             bytes: claim.bytes / CLAIMS as f64,
             ..claim
@@ -85,7 +91,9 @@
             name: "JSON line of a record",
             bytes: record_line_bytes()?,
         },
-    ])
+    ];
+    parts.extend(crate::messages::measure()?);
+    Ok(parts)
 }
 
 fn settled_fleet(size: Size) -> eyre::Result<Fleet> {
@@ -125,7 +133,7 @@
 fn claim_table() -> ClaimTable {
     let mut table = ClaimTable::new(ClaimLimits {
         max_claims: 1_000_000,
-        max_stored_bytes: 0,
+        max_stored_bytes: usize::MAX,
     });
     let now = Now {
         mono_ns: MonoNs::from_ms(10_000),
@@ -138,7 +146,25 @@
         has_earlier_claims: true,
     };
     for number in 0..CLAIMS {
-        table.claim(&claim_request(number), &tenure, now);
+        let request = claim_request(number);
+        table.claim(&request, &tenure, now);
+        // Half of the claims keep an answer, as a resend may still come.
+        if number.is_multiple_of(2) {
+            continue;
+        }
+        let answer = StoredAnswer {
+            status: 201,
+            headers: Vec::new(),
+            body: vec![0; 400],
+        };
+        let settlement = Settlement {
+            key: request.key,
+            digest: request.digest,
+            sender: request.sender,
+            attempt: request.attempt,
+            outcome: Outcome::Completed(Some(answer)),
+        };
+        table.settle(settlement, now);
     }
     table
 }
--- a/scripts/measure-fleet.sh
+++ b/scripts/measure-fleet.sh
@@ -4,7 +4,8 @@
 #
 # Usage: scripts/measure-fleet.sh HOSTS SECONDS [PROFILE RATE_FACTOR...]
 # The release binaries must have been built. TARGETS (default 30) sets the number of stand-in
-# targets, PORT (default 21000) the first port, THREADS (default 4) the threads of an entry host.
+# targets, SLOTS and SERVICE_TIME their strength, PORT (default 21000) the first port, THREADS
+# (default 4) the threads of an entry host, and LOAD_ARGS adds arguments of heatherhinge-load run.
 # Only processes that this script started are ended.
 set -euo pipefail
 cd "$(dirname "$0")/.."
@@ -113,7 +114,7 @@
     for factor in "$@"; do
         before=$(cpu_ticks "${entry_pids[0]}") before_target=$(cpu_ticks "$target_pid")
         "$bin/heatherhinge-load" run --profile "$profile" --entry "127.0.0.1:$((port + 100))" \
-            --rate-factor "$factor" --duration-s "$seconds" >"$dir/load.md" 2>&1 &
+            --rate-factor "$factor" --duration-s "$seconds" ${LOAD_ARGS:-} >"$dir/load.md" 2>&1 &
         load_pid=$!
         pids+=("$load_pid")
         while kill -0 "$load_pid" 2>/dev/null; do
