Send no new work to a target that says it is leaving

Cause: a draining target states leaving=1 on its answers, but only the platform's list, which lags, was read for it. An answer's report was also counted against own requests that the target no longer had, so other hosts' load was read one too low.

Conclusion: leaving targets get no new work from a host that has heard one answer.

--- a/crates/blackboard/src/target_cell.rs
+++ b/crates/blackboard/src/target_cell.rs
@@ -26,6 +26,7 @@
     reported_ns: AtomicU64,
     start_id: AtomicU64,
     uptime_ms: AtomicU64,
+    leaving_run: AtomicU64,
     latency_ns: AtomicU64,
     latency_at_ns: AtomicU64,
     failures: AtomicU32,
@@ -67,6 +68,7 @@
             reported_ns: AtomicU64::new(0),
             start_id: AtomicU64::new(0),
             uptime_ms: AtomicU64::new(0),
+            leaving_run: AtomicU64::new(0),
             latency_ns: AtomicU64::new(0),
             latency_at_ns: AtomicU64::new(0),
             failures: AtomicU32::new(0),
@@ -130,8 +132,29 @@
         Some(InFlight(Arc::clone(self)))
     }
 
+    /// Returns the run in which the target said that it is leaving.
+    #[must_use]
+    pub fn leaving_run(&self) -> Option<StartId> {
+        match self.leaving_run.load(Ordering::Acquire) {
+            0 => None,
+            id => Some(StartId(id)),
+        }
+    }
+
+    /// Takes in the report on an answer whose request this host still counts as in flight, while
+    /// the target no longer does.
+    pub fn record_answer(&self, report: LoadReport, now_ns: MonoNs) -> Option<StartId> {
+        let restarted = self.record_report(report, now_ns);
+        let own = self.own_in_flight().saturating_sub(1);
+        self.own_at_report.store(own, Ordering::Relaxed);
+        restarted
+    }
+
     /// Takes in a load report. Returns the earlier run if the target has restarted since.
     pub fn record_report(&self, report: LoadReport, now_ns: MonoNs) -> Option<StartId> {
+        if report.is_leaving {
+            self.leaving_run.store(report.start_id.0, Ordering::Release);
+        }
         self.reported_in_flight
             .store(report.in_flight, Ordering::Relaxed);
         self.own_at_report
--- a/crates/blackboard/tests/target_cell.rs
+++ b/crates/blackboard/tests/target_cell.rs
@@ -45,6 +45,7 @@
         slots: 5,
         start_id: StartId(id),
         uptime_ms: 1,
+        is_leaving: false,
     };
     assert_eq!(cell.record_report(report(7), MonoNs(1)), None);
     assert_eq!(cell.record_report(report(7), MonoNs(2)), None);
--- a/crates/controllers/src/targets.rs
+++ b/crates/controllers/src/targets.rs
@@ -34,6 +34,8 @@
 pub enum TargetEvent {
     /// The platform's list was read.
     Listed(Vec<ListedTarget>),
+    /// A target said on an answer that it is leaving.
+    Leaving,
     /// Time passed; another entry may have changed.
     Tick,
 }
@@ -195,6 +197,9 @@
             match warmth.get(&cell.id) {
                 // The cell may know an earlier or a later run than the one announced. The warmup
                 // controller hears of every new run, so its word decides.
+                // A run that said that it is leaving gets no new work; the next one may.
+                Warmth::Warm { start_id } if cell.leaving_run() == Some(start_id) => {}
+                Warmth::Owned { .. } if is_leaving_now(cell) => {}
                 Warmth::Warm { .. } => pool.warm.push(Arc::clone(cell)),
                 Warmth::Owned { allowance } => {
                     pool.cold.push(ColdTarget {
@@ -216,14 +221,20 @@
     type Effect = std::convert::Infallible;
 
     fn step(&mut self, board: &Blackboard, event: TargetEvent, _now: Now) -> Vec<Self::Effect> {
-        if let TargetEvent::Listed(listed) = event {
-            self.take_list(listed);
+        match event {
+            TargetEvent::Listed(listed) => self.take_list(listed),
+            TargetEvent::Leaving => self.list_changed = true,
+            TargetEvent::Tick => {}
         }
         self.rebuild(board);
         Vec::new()
     }
 }
 
+fn is_leaving_now(cell: &TargetCell) -> bool {
+    cell.leaving_run().is_some() && cell.leaving_run() == cell.start_id()
+}
+
 /// Returns the versions of a service that take traffic, the main one first, with their shares.
 fn pool_plan(service: &Service, entry: Option<&MoveEntry>) -> Vec<(Name, u32)> {
     let Some(entry) = entry else {
--- a/crates/controllers/tests/targets.rs
+++ b/crates/controllers/tests/targets.rs
@@ -63,6 +63,7 @@
         slots: 5,
         start_id: StartId(7),
         uptime_ms: 1,
+        is_leaving: false,
     };
     targets
         .cell(&addr(9))
@@ -121,3 +122,50 @@
     assert_eq!(good_after("m1", 2), 2);
     assert_eq!(good_after("m2", 3), 1);
 }
+
+/// Guards against new work for a target that said on an answer that it is leaving, before the
+/// platform's list says so, and against its next run being held back too.
+#[parameterized(
+    same_run = { 8, (0, 0) },
+    next_run = { 9, (1, 0) },
+)]
+fn leaving_by_its_own_answer(warm_run: u64, expected: (usize, usize)) {
+    let (board, writers) = Blackboard::new(host(0), Name::from("north"));
+    let Writers {
+        bundle: mut bundles,
+        warmth: mut warmths,
+        mut zones,
+        routing,
+        ..
+    } = writers;
+    let mut targets = TargetController::new(routing);
+    targets.step(&board, listed("v1", false), at(0));
+    let cell = targets.cell(&addr(9)).unwrap();
+    let report = LoadReport {
+        in_flight: 0,
+        slots: 5,
+        start_id: StartId(8),
+        uptime_ms: 60_000,
+        is_leaving: true,
+    };
+    cell.record_report(report, MonoNs(1));
+    let name = cell.id.clone();
+    bundles.publish(Some(bundle(1, ZoneState::In, None)));
+    let entry = ZoneEntry {
+        phase: ZonePhase::In,
+        since: BundleVersion(1),
+    };
+    zones.publish(ZoneTable {
+        zones: [(Name::from("north"), entry)].into(),
+    });
+    let warm = Warmth::Warm {
+        start_id: StartId(warm_run),
+    };
+    warmths.publish(WarmthTable {
+        targets: [(name, warm)].into(),
+    });
+    targets.step(&board, TargetEvent::Leaving, at(1));
+    let routing = board.routing.read();
+    let pool = &routing.value.services["orders"].pools[0];
+    assert_eq!((pool.warm.len(), pool.cold.len()), expected);
+}
--- a/crates/entryd/src/conductor.rs
+++ b/crates/entryd/src/conductor.rs
@@ -135,6 +135,10 @@
     fn handle(&mut self, event: HostEvent) {
         match event {
             HostEvent::Listed(listing) => self.listed(&listing),
+            HostEvent::TargetLeaving => {
+                let now = self.now();
+                self.targets.step(&self.board, TargetEvent::Leaving, now);
+            }
             HostEvent::Warmup(event) => self.step_warmup(event),
             HostEvent::Quarantine(event) => self.step_quarantine(event),
             HostEvent::Crashed { report, done } => {
--- a/crates/entryd/src/event.rs
+++ b/crates/entryd/src/event.rs
@@ -14,6 +14,8 @@
 pub(crate) enum HostEvent {
     /// The platform's list was read.
     Listed(Listing),
+    /// A target said on an answer that it is leaving.
+    TargetLeaving,
     /// For the warmup controller.
     Warmup(WarmupEvent),
     /// For the quarantine controller.
--- a/crates/entryd/src/observe.rs
+++ b/crates/entryd/src/observe.rs
@@ -20,6 +20,10 @@
             latency_ns,
         };
         let event = match observation.sign {
+            Sign::Leaving => {
+                self.0.send(HostEvent::TargetLeaving);
+                return;
+            }
             Sign::ColdAnswer { latency_ns } => answer(AnswerKind::Good, latency_ns),
             Sign::ColdFailure | Sign::Restarted => answer(AnswerKind::Error, 0),
             Sign::Unreachable | Sign::Broke { .. } => WarmupEvent::ConnectionLost {
--- a/crates/load/src/experiment/fake_target.rs
+++ b/crates/load/src/experiment/fake_target.rs
@@ -109,6 +109,7 @@
             slots: self.slots,
             start_id: StartId(1),
             uptime_ms: now_ns / 1_000_000,
+            is_leaving: false,
         }
     }
 
--- a/crates/load/src/experiment/simulation.rs
+++ b/crates/load/src/experiment/simulation.rs
@@ -376,5 +376,6 @@
         slots,
         start_id: heatherhinge_types::StartId(1),
         uptime_ms: 0,
+        is_leaving: false,
     }
 }
--- a/crates/policy/benches/decision.rs
+++ b/crates/policy/benches/decision.rs
@@ -34,6 +34,7 @@
             slots: 5,
             start_id: StartId(1),
             uptime_ms: 60_000,
+            is_leaving: false,
         };
         cell.record_report(report, at_ns);
         cell.record_success(rng.random_range(4_000_000..30_000_000), at_ns);
--- a/crates/policy/tests/decisions.rs
+++ b/crates/policy/tests/decisions.rs
@@ -237,6 +237,7 @@
             slots: 2,
             start_id: StartId(1),
             uptime_ms: 60_000,
+            is_leaving: false,
         };
         cell.record_report(report, NOW_NS);
         if cell.id == warm[0].id {
--- a/crates/policy/tests/weighted.rs
+++ b/crates/policy/tests/weighted.rs
@@ -35,6 +35,7 @@
         slots: 5,
         start_id: StartId(1),
         uptime_ms: 60_000,
+        is_leaving: false,
     }
 }
 
--- a/crates/proxy/src/observer.rs
+++ b/crates/proxy/src/observer.rs
@@ -23,6 +23,8 @@
     },
     /// A target that is not warm failed.
     ColdFailure,
+    /// The target says that it is leaving.
+    Leaving,
     /// The target reported another start id than before.
     Restarted,
     /// No connection could be opened.
--- a/crates/proxy/src/sender.rs
+++ b/crates/proxy/src/sender.rs
@@ -130,7 +130,10 @@
         let now_ns = self.clock.mono_ns();
         let restarted = result
             .report
-            .and_then(|report| target.record_report(report, now_ns));
+            .and_then(|report| target.record_answer(report, now_ns));
+        if result.report.is_some_and(|report| report.is_leaving) {
+            self.observe(target, Sign::Leaving);
+        }
         if restarted.is_some() {
             self.observe(target, Sign::Restarted);
         }
--- a/crates/standin-target/src/answer.rs
+++ b/crates/standin-target/src/answer.rs
@@ -38,12 +38,7 @@
     let Some(report) = worker.load_report() else {
         return;
     };
-    let leaving = if worker.faults().leaving {
-        ";leaving=1"
-    } else {
-        ""
-    };
-    if let Ok(value) = HeaderValue::from_str(&format!("{report}{leaving}")) {
+    if let Ok(value) = HeaderValue::from_str(&report.to_string()) {
         response.headers_mut().insert(header::LOAD, value);
     }
 }
--- a/crates/standin-target/src/worker.rs
+++ b/crates/standin-target/src/worker.rs
@@ -268,6 +268,7 @@
             slots: self.config.slots,
             start_id: StartId(inner.start_id),
             uptime_ms: inner.uptime_ms(),
+            is_leaving: inner.faults.leaving,
         })
     }
 
--- a/crates/types/src/load_report.rs
+++ b/crates/types/src/load_report.rs
@@ -11,7 +11,8 @@
 #[serde(transparent)]
 pub struct StartId(pub u64);
 
-/// What a target says of its load on an answer: `inflight=2;slots=5;start=77;uptime-ms=1200`.
+/// What a target says of its load on an answer: `inflight=2;slots=5;start=77;uptime-ms=1200`, with
+/// `;leaving=1` behind it while the target drains.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct LoadReport {
     /// Requests that the target was running when it answered, from all hosts.
@@ -22,6 +23,8 @@
     pub start_id: StartId,
     /// Time since the target process started, in milliseconds.
     pub uptime_ms: u64,
+    /// Whether the target drains and must get no new work in this run.
+    pub is_leaving: bool,
 }
 
 /// Why a load report could not be read. The report is then ignored.
@@ -38,6 +41,7 @@
 
     fn from_str(text: &str) -> Result<Self, LoadReportError> {
         let (mut in_flight, mut slots, mut start, mut uptime_ms) = (None, None, None, None);
+        let mut is_leaving = false;
         for part in text.split(';') {
             let (name, value) = part
                 .trim()
@@ -49,6 +53,7 @@
                 "slots" => slots = Some(value),
                 "start" => start = Some(value),
                 "uptime-ms" => uptime_ms = Some(value),
+                "leaving" => is_leaving = value != 0,
                 _ => {} // Unknown parts are left for later versions of the report.
             }
         }
@@ -62,6 +67,7 @@
             slots: small(slots)?,
             start_id: StartId(start.ok_or(LoadReportError::Missing)?),
             uptime_ms: uptime_ms.ok_or(LoadReportError::Missing)?,
+            is_leaving,
         })
     }
 }
@@ -72,6 +78,10 @@
             f,
             "inflight={};slots={};start={};uptime-ms={}",
             self.in_flight, self.slots, self.start_id.0, self.uptime_ms
-        )
+        )?;
+        if self.is_leaving {
+            f.write_str(";leaving=1")?;
+        }
+        Ok(())
     }
 }
