Test the faults of the store, late and cut answers with real daemons

Cause: no test ran whole daemons while the platform's table was down, while the answer to the accepting write was lost, while all hosts were replaced, or while targets cut their answers short or answered late. Change: each host of the test fleet runs on a runtime of its own, so that it can be ended without a stop; five tests cover these cases.

--- /dev/null
+++ b/crates/entryd/tests/faults.rs
@@ -0,0 +1,215 @@
+//! Faults of the platform, of hosts and of targets, with real daemons, stand-ins and sockets.
+
+#![allow(
+    clippy::unwrap_used,
+    missing_docs,
+    reason = "a failed unwrap fails the test"
+)]
+
+mod fleet;
+
+use fleet::{Fleet, new_key};
+use heatherhinge_standin_platform::ServiceFaults;
+use heatherhinge_standin_target::{Faults, TargetConfig};
+use heatherhinge_types::{CLOCK_ERROR_MS, RequestKey};
+use http::{Request, StatusCode};
+use std::time::Duration;
+use tokio::time::sleep;
+
+const BUNDLE: &str = "\
+[bundle]
+version = 1
+[zone zone-1]
+[service orders]
+zones = zone-1
+version = v1
+slots = 5
+warm_ms = 0
+[route orders booking]
+prefix = /booking
+methods = POST
+[route orders all]
+prefix = /
+[budget]
+probes_per_s = 10
+lease_ms = 120000
+";
+const HOSTS: [&str; 3] = ["entry-a", "entry-b", "entry-c"];
+const OUTAGE: ServiceFaults = ServiceFaults {
+    outage: true,
+    delay_ms: 0,
+    lost_before_effect_next: 0,
+    lost_after_effect_next: 0,
+    lost_after_effect_permille: 0,
+    malformed_next: 0,
+    seed: 0,
+};
+
+fn bundle(version: u64) -> String {
+    BUNDLE.replace("version = 1\n", &format!("version = {version}\n"))
+}
+
+async fn serving(text: &str) -> Fleet {
+    let targets = (0..4).map(|_| TargetConfig::new("orders")).collect();
+    let mut fleet = Fleet::start(targets).await;
+    for host in HOSTS {
+        fleet.add_host(host, "zone-1").await;
+    }
+    let accepted = fleet.submit("entry-a", text).await;
+    assert_eq!(accepted.status, StatusCode::OK, "{accepted:?}");
+    until_version(&fleet, 1).await;
+    fleet.until_owned().await;
+    fleet.until_warm("/orders/stock").await;
+    fleet.until_answered("/orders/stock", StatusCode::OK).await;
+    // Keys that are issued within twice the clock error of a change of owner are refused.
+    sleep(Duration::from_millis(2 * CLOCK_ERROR_MS)).await;
+    fleet
+}
+
+async fn until_version(fleet: &Fleet, version: u64) {
+    fleet
+        .until_all("the version", |status| {
+            status.bundle_version == version && status.is_fresh
+        })
+        .await;
+}
+
+fn set_target_faults(fleet: &Fleet, faults: &Faults) {
+    for target in &fleet.targets {
+        target.set_faults(faults.clone());
+    }
+}
+
+fn runs_of(fleet: &Fleet, key: RequestKey) -> usize {
+    let key = key.to_string();
+    let runs = fleet.targets.iter().flat_map(|target| target.executions());
+    runs.filter(|run| run.key.as_ref() == Some(&key)).count()
+}
+
+/// Guards against a store outage stopping traffic, against a submission that is reported as
+/// accepted or as not run without being so, and against hosts that stay cut off afterwards.
+#[tokio::test(flavor = "multi_thread")]
+async fn store_outage_stops_only_bundles() {
+    let fleet = serving(BUNDLE).await;
+    fleet.set_table_faults(OUTAGE);
+    // Longer than a host stays fresh on its last reading of the store alone.
+    sleep(Duration::from_secs(4)).await;
+    for number in 0..20 {
+        for host in HOSTS {
+            let answer = fleet.get(host, "/orders/stock").await;
+            assert_eq!(answer.status, StatusCode::OK, "{host}: {answer:?}");
+        }
+        let key = new_key(number);
+        let booked = fleet.post("entry-b", "/orders/booking", key, "bell").await;
+        assert_eq!(booked.status, StatusCode::OK, "{booked:?}");
+        assert_eq!(runs_of(&fleet, key), 1);
+    }
+    let refused = fleet.submit("entry-a", &bundle(2)).await;
+    assert_eq!(refused.header("heatherhinge-code"), "2301", "{refused:?}");
+    fleet.set_table_faults(ServiceFaults::default());
+    until_version(&fleet, 1).await;
+    let accepted = fleet.submit("entry-a", &bundle(2)).await;
+    assert_eq!(accepted.status, StatusCode::OK, "{accepted:?}");
+    until_version(&fleet, 2).await;
+}
+
+/// Guards against an accepted bundle being reported as refused because the answer to its write
+/// was lost.
+#[tokio::test(flavor = "multi_thread")]
+async fn lost_answer_is_no_refusal() {
+    let fleet = serving(BUNDLE).await;
+    // Every answer to a write is lost, so that writes of leases cannot use the fault up.
+    fleet.set_table_faults(ServiceFaults {
+        lost_after_effect_permille: 1_000,
+        ..ServiceFaults::default()
+    });
+    let answer = fleet.submit("entry-a", &bundle(2)).await;
+    let is_unknown = answer.header("heatherhinge-code") == "2107";
+    assert!(answer.status == StatusCode::OK || is_unknown, "{answer:?}");
+    until_version(&fleet, 2).await;
+}
+
+/// Guards against fresh hosts serving without a bundle, or going back to an older one, after all
+/// hosts were replaced while the store was down.
+#[tokio::test(flavor = "multi_thread")]
+async fn fresh_hosts_wait_for_the_store() {
+    let mut fleet = serving(BUNDLE).await;
+    let accepted = fleet.submit("entry-b", &bundle(2)).await;
+    assert_eq!(accepted.status, StatusCode::OK, "{accepted:?}");
+    until_version(&fleet, 2).await;
+    fleet.set_table_faults(OUTAGE);
+    for host in HOSTS {
+        fleet.kill_host(host);
+    }
+    let fresh = ["fresh-a", "fresh-b", "fresh-c"];
+    for host in fresh {
+        fleet.add_host(host, "zone-1").await;
+    }
+    for _ in 0..20 {
+        for host in fresh {
+            let answer = fleet.get(host, "/orders/stock").await;
+            assert_eq!(answer.header("heatherhinge-code"), "1503", "{answer:?}");
+            assert_eq!(answer.header("heatherhinge-ran"), "no", "{answer:?}");
+        }
+        sleep(Duration::from_millis(100)).await;
+    }
+    fleet.set_table_faults(ServiceFaults::default());
+    fleet
+        .until_all("version 2", |status| {
+            assert_ne!(status.bundle_version, 1, "{status:?}");
+            status.bundle_version == 2 && status.is_fresh
+        })
+        .await;
+}
+
+/// Guards against an answer that a target cut short being delivered as a whole one.
+#[tokio::test(flavor = "multi_thread")]
+async fn truncated_answer_is_never_whole() {
+    let fleet = serving(BUNDLE).await;
+    let cut = Faults {
+        truncate_answer: true,
+        ..Faults::default()
+    };
+    set_target_faults(&fleet, &cut);
+    for number in 0..10 {
+        for host in HOSTS {
+            for path in [format!("stock/{number}"), format!("{number}/bulk/300000")] {
+                let uri = format!("http://{}/orders/{path}", fleet.addr(host));
+                let answer = fleet.try_send(Request::get(uri), String::new()).await;
+                let is_whole = answer.as_ref().is_some_and(|a| a.status.is_success());
+                assert!(!is_whole, "{path}: {answer:?}");
+            }
+        }
+    }
+}
+
+/// Guards against a late answer being delivered to the request that follows.
+#[tokio::test(flavor = "multi_thread")]
+async fn late_answer_reaches_nobody_else() {
+    let fleet = serving(BUNDLE).await;
+    let late = Faults {
+        late_answer_ms: 2_000,
+        ..Faults::default()
+    };
+    set_target_faults(&fleet, &late);
+    for number in 0..4 {
+        for host in HOSTS {
+            let uri = format!("http://{}/orders/late/{number}", fleet.addr(host));
+            let request = Request::get(uri).header("heatherhinge-deadline-ms", "300");
+            let answer = fleet.send(request, String::new()).await;
+            assert_eq!(answer.header("heatherhinge-code"), "1305", "{answer:?}");
+        }
+    }
+    set_target_faults(&fleet, &Faults::default());
+    for number in 0..100 {
+        let path = format!("/orders/own/{number}");
+        let host = HOSTS[number % HOSTS.len()];
+        let answer = fleet.get(host, &path).await;
+        assert_eq!(answer.status, StatusCode::OK, "{path}: {answer:?}");
+        let body: serde_json::Value = serde_json::from_slice(&answer.body).unwrap();
+        let own = body["path"].as_str().unwrap();
+        assert!(own.ends_with(&format!("/own/{number}")), "{path}: {own}");
+        // The late answers arrive while these requests are sent.
+        sleep(Duration::from_millis(20)).await;
+    }
+}
--- a/crates/entryd/tests/fleet/mod.rs
+++ b/crates/entryd/tests/fleet/mod.rs
@@ -12,7 +12,9 @@
 use heatherhinge_entryd::{EntryHost, EntryHostHandle};
 use heatherhinge_records::admin::StatusAnswer;
 use heatherhinge_settings::{EntrySettings, LogFormat, LogLevel};
-use heatherhinge_standin_platform::{Listen, Options, RunningPlatform, TargetGroup};
+use heatherhinge_standin_platform::{
+    FaultSettings, Listen, Options, RunningPlatform, ServiceFaults, TargetGroup,
+};
 use heatherhinge_standin_target::{Target, TargetConfig};
 use heatherhinge_types::{Name, RequestKey, WallMs};
 use http::{HeaderMap, Request, StatusCode};
@@ -23,6 +25,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
+use tokio::runtime::{Builder, Runtime};
 use tokio::time::{Instant, sleep};
 
 /// Longest wait for a state that must come; far above what a slow computer needs.
@@ -33,10 +36,33 @@
     pub platform: RunningPlatform,
     pub targets: Vec<Target>,
     pub hosts: BTreeMap<String, EntryHostHandle>,
+    runtimes: BTreeMap<String, HostRuntime>,
     key: SigningKey,
     client: Client<HttpConnector, Full<Bytes>>,
 }
 
+/// The runtime of one host. Dropping it ends the host at once, as a killed process ends: all its
+/// tasks are cancelled and its sockets close.
+struct HostRuntime(Option<Runtime>);
+
+impl HostRuntime {
+    fn new() -> Self {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(2)
+            .enable_all()
+            .build();
+        Self(Some(runtime.unwrap()))
+    }
+}
+
+impl Drop for HostRuntime {
+    fn drop(&mut self) {
+        if let Some(runtime) = self.0.take() {
+            runtime.shutdown_background();
+        }
+    }
+}
+
 #[derive(Debug)]
 pub struct Answer {
     pub status: StatusCode,
@@ -69,6 +95,7 @@
             platform,
             targets: Vec::new(),
             hosts: BTreeMap::new(),
+            runtimes: BTreeMap::new(),
             key: SigningKey::from_bytes(&[7; 32]),
             client: Client::builder(TokioExecutor::new()).build_http(),
         };
@@ -135,7 +162,14 @@
             drain_limit_ms: None,
             record_limit: 4_096,
         };
-        let host = EntryHost::spawn(settings).await.unwrap();
+        let runtime = HostRuntime::new();
+        let spawned = runtime
+            .0
+            .as_ref()
+            .unwrap()
+            .spawn(EntryHost::spawn(settings));
+        let host = spawned.await.unwrap().unwrap();
+        self.runtimes.insert(name.to_owned(), runtime);
         let labels = [
             ("role", "entry"),
             ("host", name),
@@ -147,6 +181,20 @@
         self.hosts.insert(name.to_owned(), host);
     }
 
+    /// Ends a host without a stop: its tasks are cancelled and its sockets close.
+    pub fn kill_host(&mut self, name: &str) {
+        self.hosts.remove(name);
+        self.runtimes.remove(name);
+    }
+
+    /// Switches the faults of the table service.
+    pub fn set_table_faults(&self, faults: ServiceFaults) {
+        self.platform.set_faults(FaultSettings {
+            table: Some(faults),
+            ..FaultSettings::default()
+        });
+    }
+
     pub fn addr(&self, host: &str) -> SocketAddr {
         self.hosts[host].caller_addr()
     }
@@ -173,14 +221,19 @@
     }
 
     pub async fn send(&self, request: http::request::Builder, body: String) -> Answer {
+        self.try_send(request, body).await.unwrap()
+    }
+
+    /// Sends a request; `None` means that the connection broke before the answer was whole.
+    pub async fn try_send(&self, request: http::request::Builder, body: String) -> Option<Answer> {
         let request = request.body(Full::new(Bytes::from(body))).unwrap();
-        let (head, body) = self.client.request(request).await.unwrap().into_parts();
-        let body = body.collect().await.unwrap().to_bytes();
-        Answer {
+        let (head, body) = self.client.request(request).await.ok()?.into_parts();
+        let body = body.collect().await.ok()?.to_bytes();
+        Some(Answer {
             status: head.status,
             headers: head.headers,
             body,
-        }
+        })
     }
 
     pub async fn status(&self, host: &str) -> StatusAnswer {
