Wait for the bundle before the first lease of a host

Cause: a host took its first lease before it had a bundle, with the default length of 120 s. A lease that is longer than the bundle's is not renewed until it nearly ends, so lease_ms = 10000 had no effect for about two minutes: 60 s after a host was killed, 73 of 256 partitions still had no owner. Change: the ownership controller writes no lease before a bundle is in force. A host without a bundle refuses all requests, so it needs no partition. A test kills a host with bookings in flight, resends them, and waits for new grants. Conclusion: the length set in the first bundle holds from the first lease on. A later bundle that shortens it still takes effect only at the next renewal.

--- a/crates/controllers/src/ownership.rs
+++ b/crates/controllers/src/ownership.rs
@@ -204,7 +204,9 @@
         let mut context = LeaseContext {
             now,
             lease_ms: lease_ms(board),
-            may_write: self.may_write(now),
+            // The first lease waits for the bundle, which says how long it is to be: a lease that is
+            // longer than the bundle's is not renewed, and so not shortened, until it nearly ends.
+            may_write: self.may_write(now) && board.bundle.read().value.is_some(),
             write: None,
             hand_over: false,
             is_stopped: false,
--- a/crates/entryd/tests/faults.rs
+++ b/crates/entryd/tests/faults.rs
@@ -14,6 +14,8 @@
 use heatherhinge_types::{CLOCK_ERROR_MS, RequestKey};
 use http::{Request, StatusCode};
 use std::time::Duration;
+use tokio::io::AsyncWriteExt;
+use tokio::net::TcpStream;
 use tokio::time::sleep;
 
 const BUNDLE: &str = "\
@@ -162,6 +164,69 @@
         .await;
 }
 
+/// Guards against a resend running again, or being told that nothing ran, after the host that it
+/// ran through was killed, and against partitions that nobody takes over.
+#[tokio::test(flavor = "multi_thread")]
+async fn killed_host_runs_nothing_twice() {
+    let mut fleet = serving(&BUNDLE.replace("lease_ms = 120000", "lease_ms = 10000")).await;
+    let mut keys = Vec::new();
+    for number in 0..20 {
+        let key = new_key(number);
+        let booked = fleet.post("entry-b", "/orders/booking", key, "bell").await;
+        assert_eq!(booked.status, StatusCode::OK, "{booked:?}");
+        keys.push(key);
+    }
+    let slow = Faults {
+        late_answer_ms: 2_000,
+        ..Faults::default()
+    };
+    set_target_faults(&fleet, &slow);
+    let mut callers = Vec::new();
+    for number in 20..30 {
+        let key = new_key(number);
+        let mut caller = TcpStream::connect(fleet.addr("entry-b")).await.unwrap();
+        let text = format!(
+            "POST /orders/booking HTTP/1.1\r\nhost: h\r\nidempotency-key: {key}\r\n\
+             content-length: 4\r\n\r\nbell"
+        );
+        caller.write_all(text.as_bytes()).await.unwrap();
+        while runs_of(&fleet, key) == 0 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        callers.push(caller);
+        keys.push(key);
+    }
+    fleet.kill_host("entry-b");
+    set_target_faults(&fleet, &Faults::default());
+    resend_all(&fleet, &keys).await;
+    // The lease of the killed host ends, and the others take its partitions.
+    fleet.until_owned().await;
+    resend_all(&fleet, &keys).await;
+    sleep(Duration::from_millis(2 * CLOCK_ERROR_MS)).await;
+    for number in 100..140 {
+        let key = new_key(number);
+        let booked = fleet.post("entry-a", "/orders/booking", key, "bell").await;
+        assert_eq!(booked.status, StatusCode::OK, "{booked:?}");
+        assert_eq!(runs_of(&fleet, key), 1);
+    }
+    resend_all(&fleet, &keys).await;
+}
+
+async fn resend_all(fleet: &Fleet, keys: &[RequestKey]) {
+    for key in keys {
+        for host in ["entry-a", "entry-c"] {
+            let again = fleet.post(host, "/orders/booking", *key, "bell").await;
+            let is_replayed = again.header("heatherhinge-replayed") == "1";
+            let ran = again.header("heatherhinge-ran");
+            assert!(
+                is_replayed || ["unknown", "yes"].contains(&ran),
+                "{again:?}"
+            );
+            assert_eq!(runs_of(fleet, *key), 1, "{again:?}");
+        }
+    }
+}
+
 /// Guards against an answer that a target cut short being delivered as a whole one.
 #[tokio::test(flavor = "multi_thread")]
 async fn truncated_answer_is_never_whole() {
