Test a version move that is taken back with real daemons

Cause: no test moved a version through whole daemons, so nothing showed that a verdict outlives the hosts that reached it. Change: a test moves to a version that fails on one route, waits until it is taken back and reported once, kills all entry hosts and starts fresh ones.

--- a/crates/entryd/tests/faults.rs
+++ b/crates/entryd/tests/faults.rs
@@ -8,10 +8,13 @@
 
 mod fleet;
 
-use fleet::{Fleet, new_key};
+use fleet::{Fleet, new_key, wall_now};
+use heatherhinge_blackboard::MoveState;
+use heatherhinge_bundle::format_wall_time;
+use heatherhinge_records::admin::{ReportAnswer, StatusAnswer};
 use heatherhinge_standin_platform::ServiceFaults;
-use heatherhinge_standin_target::{Faults, TargetConfig};
-use heatherhinge_types::{CLOCK_ERROR_MS, RequestKey};
+use heatherhinge_standin_target::{BadEffect, BadVersion, BadWhen, Faults, TargetConfig};
+use heatherhinge_types::{CLOCK_ERROR_MS, Name, RequestKey};
 use http::{Request, StatusCode};
 use std::time::Duration;
 use tokio::io::AsyncWriteExt;
@@ -278,3 +281,110 @@
         sleep(Duration::from_millis(20)).await;
     }
 }
+
+/// Guards against a version that fails on one route staying in use, against its report being
+/// written more than once, and against fresh hosts forgetting that it was taken back.
+#[tokio::test(flavor = "multi_thread")]
+async fn bad_version_stays_taken_back() {
+    let text = BUNDLE
+        .replace("lease_ms = 120000", "lease_ms = 10000")
+        .replace(
+            "[route orders all]",
+            "[route orders checks]\nprefix = /checks\n[route orders all]",
+        );
+    let mut fleet = serving(&text).await;
+    for _ in 0..2 {
+        let config = TargetConfig {
+            version: Name::from("v2"),
+            ..TargetConfig::new("orders")
+        };
+        fleet.add_target(config).await;
+    }
+    let sample = fleet.get("entry-a", "/orders/checks").await;
+    let sample: serde_json::Value = serde_json::from_slice(&sample.body).unwrap();
+    let prefix = sample["path"].as_str().unwrap().to_owned();
+    let bad = BadVersion {
+        effect: BadEffect::Fail,
+        when: BadWhen::OnRoute { prefix },
+    };
+    for target in &fleet.targets[4..] {
+        target.set_faults(Faults {
+            bad_version: Some(bad.clone()),
+            ..Faults::default()
+        });
+    }
+    let end = format_wall_time(wall_now().plus_ms(90_000));
+    let moving = format!(
+        "{}[move orders]\nid = orders-2\nfrom = v1\nto = v2\nend = {end}\n\
+         cap_permille = 100\nmin_samples = 20\n",
+        text.replace("version = 1\n", "version = 2\n")
+    );
+    let accepted = fleet.submit("entry-a", &moving).await;
+    assert_eq!(accepted.status, StatusCode::OK, "{accepted:?}");
+    until_version(&fleet, 2).await;
+    for _ in 0..2_000 {
+        if send_checks(&fleet).await {
+            break;
+        }
+    }
+    fleet.until_all("taken back", is_taken_back).await;
+    until_reported(&fleet, "entry-a").await;
+    let runs = |fleet: &Fleet| -> usize {
+        let new = fleet.targets[4..].iter();
+        new.map(|target| target.executions().len()).sum()
+    };
+    let before = runs(&fleet);
+    assert!(before > 0, "the new version never got a request");
+    for host in HOSTS {
+        fleet.kill_host(host);
+    }
+    for host in ["fresh-a", "fresh-b", "fresh-c"] {
+        fleet.add_host(host, "zone-1").await;
+    }
+    for _ in 0..200 {
+        send_checks(&fleet).await;
+    }
+    fleet.until_owned().await;
+    fleet.until_all("taken back", is_taken_back).await;
+    fleet.until_answered("/orders/checks", StatusCode::OK).await;
+    for _ in 0..100 {
+        send_checks(&fleet).await;
+    }
+    until_reported(&fleet, "fresh-b").await;
+    assert_eq!(runs(&fleet), before);
+}
+
+fn is_taken_back(status: &StatusAnswer) -> bool {
+    let state = status.moves.first().map(|line| line.state);
+    state == Some(MoveState::TakenBack)
+}
+
+/// Sends some requests on both routes through every host. Returns whether all hosts have taken the
+/// move back.
+async fn send_checks(fleet: &Fleet) -> bool {
+    let mut is_everywhere = true;
+    for host in fleet.hosts.keys() {
+        for path in ["/orders/checks", "/orders/stock"] {
+            for _ in 0..5 {
+                fleet.get(host, path).await;
+            }
+        }
+        is_everywhere &= is_taken_back(&fleet.status(host).await);
+    }
+    is_everywhere
+}
+
+/// Waits for the report on the move, and checks that there is no other one.
+async fn until_reported(fleet: &Fleet, host: &str) {
+    for attempt in 0.. {
+        assert!(attempt < 600, "the report was not written");
+        let answer = fleet.get(host, "/heatherhinge/v1/report").await;
+        let report: ReportAnswer = serde_json::from_slice(&answer.body).unwrap();
+        if let [only] = report.moves.as_slice() {
+            assert_eq!(only.state, MoveState::TakenBack, "{only:?}");
+            return;
+        }
+        assert!(report.moves.is_empty(), "{report:?}");
+        sleep(Duration::from_millis(100)).await;
+    }
+}
