--- a/scripts/demo.sh
+++ b/scripts/demo.sh
@@ -75,6 +75,17 @@
     done <"$dir/$file"
 done
 
+# A process that has ended already found its port taken, most likely by another demonstration.
+check_alive() {
+    for pid in "${pids[@]}" "${entry_pids[@]}"; do
+        kill -0 "$pid" 2>/dev/null && continue
+        echo "A process has ended; its log says:"
+        head -n 3 "$dir"/*.log
+        exit 1
+    done
+}
+check_alive
+
 say "Starting four entry hosts"
 "$bin/heatherhinge" key new --id ops-1 --out "$dir/ops-1.key" >"$dir/key.txt"
 for n in 1 2 3 4; do
@@ -99,6 +110,7 @@
         "${entries[n - 1]}"
 done
 for entry in "${entries[@]}"; do wait_for "$entry/heatherhinge/v1/status"; done
+check_alive
 
 submit() { # version, further sections
     { sed "s/@VERSION@/$1/" demo/bundle.ini && cat "$2"; } >"$dir/bundle-$1.ini"
@@ -117,7 +129,7 @@
     sleep 0.2
 done
 
-say "Both workloads run for 120 s; orders moves from v1 to v2 meanwhile"
+say "Both workloads run for 150 s; orders moves from v1 to v2 meanwhile"
 cat <<'HELP'
 In a second terminal, try:
   curl -i http://127.0.0.1:7001/orders/stock/bell
@@ -126,14 +138,15 @@
 HELP
 entry_options=()
 for entry in "${entries[@]}"; do entry_options+=(--entry "$entry"); done
-for profile in vatuwaqa kozhikode; do
-    "$bin/heatherhinge-load" run --profile "profiles/$profile.ini" "${entry_options[@]}" \
-        --duration-s 120 --seed 7 --json "$dir/$profile.json" >"$dir/$profile.md" 2>"$dir/$profile.log" &
+for profile in demo/vatuwaqa.ini profiles/kozhikode.ini; do
+    name=$(basename "$profile" .ini)
+    "$bin/heatherhinge-load" run --profile "$profile" "${entry_options[@]}" \
+        --duration-s 150 --seed 7 --json "$dir/$name.json" >"$dir/$name.md" 2>"$dir/$name.log" &
     pids+=($!)
     load_pids+=($!)
 done
 sleep 5
-sed "s/@END@/$(date -u -d '+80 seconds' +%Y-%m-%dT%H:%M:%SZ)/" demo/move.ini >"$dir/move.ini"
+sed "s/@END@/$(date -u -d '+130 seconds' +%Y-%m-%dT%H:%M:%SZ)/" demo/move.ini >"$dir/move.ini"
 submit 2 "$dir/move.ini"
 for pid in "${load_pids[@]}"; do
     wait "$pid" || { echo "A load run failed:"; cat "$dir"/vatuwaqa.log "$dir"/kozhikode.log; exit 1; }
