--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -6,7 +6,7 @@
 use heatherhinge_blackboard::{Blackboard, TargetCell};
 use heatherhinge_platform::{HostList, HostListClient};
 use heatherhinge_types::Partition;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{IpAddr, Ipv4Addr, Ipv6Addr, SocketAddr, UdpSocket};
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -33,7 +33,12 @@
 
 /// Sends metrics over UDP until the host stops.
 pub(crate) async fn send_metrics(board: Arc<Blackboard>, addr: SocketAddr) -> eyre::Result<()> {
-    let socket = UdpSocket::bind("127.0.0.1:0")?;
+    // Any local address of the collector's family, so that it may be on another host.
+    let any: IpAddr = match addr {
+        SocketAddr::V4(_) => Ipv4Addr::UNSPECIFIED.into(),
+        SocketAddr::V6(_) => Ipv6Addr::UNSPECIFIED.into(),
+    };
+    let socket = UdpSocket::bind((any, 0))?;
     socket.set_nonblocking(true)?;
     let sink = BufferedUdpMetricSink::from(addr, socket)?;
     let client = StatsdClient::builder(METRICS_PREFIX, sink)
