Count the cut answers in the test of truncated answers

Cause: the test passed as well if no request had reached a target, because a refusal is not a whole answer either. Change: at least 30 of the 60 requests must have been cut by a target. Conclusion: the check can fail now.

--- a/crates/entryd/tests/faults.rs
+++ b/crates/entryd/tests/faults.rs
@@ -239,6 +239,8 @@
         ..Faults::default()
     };
     set_target_faults(&fleet, &cut);
+    let received = || -> u64 { fleet.targets.iter().map(|t| t.counters().received).sum() };
+    let before = received();
     for number in 0..10 {
         for host in HOSTS {
             for path in [format!("stock/{number}"), format!("{number}/bulk/300000")] {
@@ -249,6 +251,8 @@
             }
         }
     }
+    let cut_answers = received() - before;
+    assert!(cut_answers >= 30, "only {cut_answers} answers were cut");
 }
 
 /// Guards against a late answer being delivered to the request that follows.
