Read the version of the bundle in one place

Change: Blackboard::bundle_version and BundleStore::newest_version serve them; the counters waiting and records_lost are removed. Conclusion: none.

--- a/crates/blackboard/src/board.rs
+++ b/crates/blackboard/src/board.rs
@@ -4,7 +4,7 @@
     Counters, HostTable, MoveTable, OwnerTable, QuarantineTable, Reader, RoutingSnapshot,
     WarmthTable, Writer, ZoneTable, entry,
 };
-use heatherhinge_bundle::Bundle;
+use heatherhinge_bundle::{Bundle, BundleVersion};
 use heatherhinge_types::Name;
 use std::sync::Arc;
 
@@ -57,6 +57,17 @@
 }
 
 impl Blackboard {
+    /// Returns the version of the bundle in force, or the default before the first one.
+    #[must_use]
+    pub fn bundle_version(&self) -> BundleVersion {
+        let bundle = self.bundle.read();
+        bundle
+            .value
+            .as_ref()
+            .map(|bundle| bundle.version)
+            .unwrap_or_default()
+    }
+
     /// Makes an empty blackboard for a host and the writers of its entries.
     #[must_use]
     pub fn new(host: Name, zone: Name) -> (Arc<Self>, Writers) {
--- a/crates/blackboard/src/counters.rs
+++ b/crates/blackboard/src/counters.rs
@@ -83,8 +83,6 @@
     pub refusals: AtomicU64,
     /// Attempts after the first.
     pub retries: AtomicU64,
-    /// Requests waiting for a target.
-    pub waiting: AtomicU64,
     /// Thousandths of a retry that may still be spent.
     pub retry_credit_permille: AtomicU64,
     /// Recent time a target takes for one request, in nanoseconds.
@@ -97,7 +95,6 @@
             successes: AtomicU64::new(0),
             refusals: AtomicU64::new(0),
             retries: AtomicU64::new(0),
-            waiting: AtomicU64::new(0),
             retry_credit_permille: AtomicU64::new(RETRY_CREDIT_START_PERMILLE),
             service_time_ns: AtomicU64::new(0),
         }
@@ -117,6 +114,4 @@
     pub in_flight: AtomicU64,
     /// Claims asked of other hosts.
     pub claims_sent: AtomicU64,
-    /// Records dropped because the object store was down for too long.
-    pub records_lost: AtomicU64,
 }
--- a/crates/controllers/src/recording.rs
+++ b/crates/controllers/src/recording.rs
@@ -6,13 +6,8 @@
 
 /// Returns the versions of all entries that routing depends on.
 pub(crate) fn current_basis(board: &Blackboard) -> Basis {
-    let bundle = board.bundle.read();
     Basis {
-        bundle: bundle
-            .value
-            .as_ref()
-            .map(|bundle| bundle.version)
-            .unwrap_or_default(),
+        bundle: board.bundle_version(),
         owners: board.owners.read().version,
         warmth: board.warmth.read().version,
         moves: board.moves.read().version,
--- a/crates/entryd/src/admin.rs
+++ b/crates/entryd/src/admin.rs
@@ -105,10 +105,7 @@
     }
 
     fn record(&self, event: RecordEvent) {
-        let bundle = self
-            .bundles
-            .newest()
-            .map_or(0, |newest| newest.bundle.version.0);
+        let bundle = self.bundles.newest_version();
         self.records.record(Record {
             at_wall_ms: self.clock.now().wall_ms,
             host: self.board.host.clone(),
@@ -126,10 +123,7 @@
         self.catch_up().await?;
         let now_wall_ms = self.clock.now().wall_ms;
         let verified = self.bundles.check_submitted(json, now_wall_ms)?;
-        let accepted = self
-            .bundles
-            .newest()
-            .map_or(0, |newest| newest.bundle.version.0);
+        let accepted = self.bundles.newest_version();
         if verified.bundle.version.0 != accepted + 1 {
             return Err(Code::BundleVersion.into());
         }
@@ -225,12 +219,7 @@
     let now = admin.clock.now();
     let (hosts, zones, moves) = (board.hosts.read(), board.zones.read(), board.moves.read());
     let newest = admin.bundles.newest();
-    let in_force = board
-        .bundle
-        .read()
-        .value
-        .as_ref()
-        .map_or(0, |bundle| bundle.version.0);
+    let in_force = board.bundle_version().0;
     let digest = newest.filter(|newest| newest.bundle.version.0 == in_force);
     Json(StatusAnswer {
         host: board.host.clone(),
--- a/crates/entryd/src/bundle_store.rs
+++ b/crates/entryd/src/bundle_store.rs
@@ -46,6 +46,11 @@
         self.newest.load_full()
     }
 
+    /// Returns the version of the newest bundle, or 0 before the first one.
+    pub(crate) fn newest_version(&self) -> u64 {
+        self.newest().map_or(0, |newest| newest.bundle.version.0)
+    }
+
     /// Returns the envelope of at least this version for a peer.
     pub(crate) fn envelope_json(&self, version: u64) -> Option<Vec<u8>> {
         let newest = self
--- a/crates/entryd/src/draft.rs
+++ b/crates/entryd/src/draft.rs
@@ -71,7 +71,7 @@
             caller_addr: self.caller_addr,
             peer_addr: self.peer_addr,
             takes_callers: board.counters.status.phase() == HostPhase::Serving,
-            bundle_version: bundle_version(board),
+            bundle_version: board.bundle_version(),
             lease_epoch: owners.value.epoch(&board.host),
             lease_until_wall_ms: own_lease,
             warm: self.warm.clone(),
@@ -83,16 +83,6 @@
     }
 }
 
-fn bundle_version(board: &Blackboard) -> heatherhinge_bundle::BundleVersion {
-    board
-        .bundle
-        .read()
-        .value
-        .as_ref()
-        .map(|bundle| bundle.version)
-        .unwrap_or_default()
-}
-
 /// Sums what measuring, retrying and refusing cost on this host.
 pub(crate) fn spend(board: &Blackboard) -> Spend {
     let routing = board.routing.read();
--- a/crates/entryd/src/tasks.rs
+++ b/crates/entryd/src/tasks.rs
@@ -65,20 +65,13 @@
         client
             .gauge("claims", board.counters.claims_sent.load(Ordering::Relaxed))
             .ok();
-        client.gauge("bundle_version", bundle_version(&board)).ok();
+        client
+            .gauge("bundle_version", board.bundle_version().0)
+            .ok();
         client.flush().ok();
     }
 }
 
-fn bundle_version(board: &Blackboard) -> u64 {
-    board
-        .bundle
-        .read()
-        .value
-        .as_ref()
-        .map_or(0, |bundle| bundle.version.0)
-}
-
 /// Returns the targets that this host may probe: those of its partitions without recent reports.
 pub(crate) fn silent_targets(
     board: &Blackboard,
