--- /dev/null
+++ b/crates/gateway/src/answer.rs
@@ -0,0 +1,89 @@
+//! The body of an answer to a caller.
+
+use crate::connection::Connection;
+use crate::in_flight::InFlight;
+use crate::links::Link;
+use bytes::Bytes;
+use http_body::{Body, Frame, SizeHint};
+use hyper::body::Incoming;
+use std::pin::Pin;
+use std::sync::Arc;
+use std::task::{Context, Poll};
+use tokio::time::Instant;
+
+/// Body of any answer of an entry host.
+#[derive(Debug)]
+pub enum AnswerBody {
+    /// A body that is in memory.
+    Full(Option<Bytes>),
+    /// An answer of a target that is passed on as it arrives.
+    Stream(Box<StreamedAnswer>),
+    /// An answer of the host's own endpoints.
+    Own(axum::body::Body),
+}
+
+impl AnswerBody {
+    /// Makes a body that is in memory.
+    #[must_use]
+    pub fn full(bytes: impl Into<Bytes>) -> Self {
+        Self::Full(Some(bytes.into()))
+    }
+}
+
+/// An answer that is passed on as it arrives. An error on the way resets the caller's connection,
+/// so that a cut answer is never taken for a complete one.
+#[derive(Debug)]
+pub struct StreamedAnswer {
+    pub(crate) incoming: Incoming,
+    pub(crate) connection: Option<Connection>,
+    pub(crate) link: Arc<Link>,
+    pub(crate) _in_flight: InFlight,
+}
+
+impl StreamedAnswer {
+    /// Returns the connection to its link once the whole answer has arrived.
+    fn finish(&mut self) {
+        if let Some(mut connection) = self.connection.take() {
+            connection.served_at = Some(Instant::now());
+            self.link.put_back(connection);
+        }
+    }
+}
+
+impl Body for AnswerBody {
+    type Data = Bytes;
+    type Error = axum::Error;
+
+    fn poll_frame(
+        self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
+        match self.get_mut() {
+            Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
+            Self::Stream(answer) => {
+                let polled = Pin::new(&mut answer.incoming).poll_frame(cx);
+                if matches!(polled, Poll::Ready(None)) || answer.incoming.is_end_stream() {
+                    answer.finish();
+                }
+                polled.map(|frame| frame.map(|frame| frame.map_err(axum::Error::new)))
+            }
+            Self::Own(body) => Pin::new(body).poll_frame(cx),
+        }
+    }
+
+    fn is_end_stream(&self) -> bool {
+        match self {
+            Self::Full(bytes) => bytes.is_none(),
+            Self::Stream(answer) => answer.incoming.is_end_stream(),
+            Self::Own(body) => body.is_end_stream(),
+        }
+    }
+
+    fn size_hint(&self) -> SizeHint {
+        match self {
+            Self::Full(bytes) => SizeHint::with_exact(bytes.as_ref().map_or(0, Bytes::len) as u64),
+            Self::Stream(answer) => answer.incoming.size_hint(),
+            Self::Own(body) => body.size_hint(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/attempt.rs
@@ -0,0 +1,172 @@
+//! One attempt at a target.
+
+use crate::WireHeaders;
+use crate::answer::{AnswerBody, StreamedAnswer};
+use crate::call::{Call, strip_hop_by_hop};
+use crate::connection::{Connection, SendFault};
+use crate::in_flight::InFlight;
+use crate::links::Link;
+use crate::probe::text;
+use bytes::Bytes;
+use heatherhinge_steering::{AttemptEnd, LoadFigure, Target};
+use heatherhinge_types::{MonoNs, Name};
+use http::header::EXPECT;
+use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version};
+use http_body::Body;
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use tokio::time::Instant;
+
+/// Answers up to this many bytes are taken in whole before they are passed on, so that one that
+/// breaks off can be replaced by another attempt's.
+const WHOLE_ANSWER_BYTES: u64 = 256 * 1024;
+
+/// The outcome of an attempt.
+#[derive(Debug)]
+pub(crate) struct Attempted {
+    pub(crate) end: AttemptEnd,
+    /// The target's answer, if it is to be passed on.
+    pub(crate) response: Option<Response<AnswerBody>>,
+    /// The target, if one was found.
+    pub(crate) target: Option<Arc<Target>>,
+    /// What the target stated before the request was sent.
+    pub(crate) load: Option<LoadFigure>,
+    /// Time that the target took, in microseconds.
+    pub(crate) took_us: u64,
+    /// Why it ended so, for the log.
+    pub(crate) cause: &'static str,
+}
+
+/// A request on its way to a target.
+#[derive(Debug)]
+pub(crate) struct Outgoing<'a> {
+    pub(crate) call: &'a Call,
+    pub(crate) headers: &'a WireHeaders,
+    pub(crate) target: &'a Target,
+    pub(crate) now: MonoNs,
+}
+
+/// The end of an exchange and its answer.
+pub(crate) type Exchanged = (AttemptEnd, Option<Response<AnswerBody>>, &'static str);
+
+impl Outgoing<'_> {
+    fn request(&self) -> Option<Request<Full<Bytes>>> {
+        let call = self.call;
+        let mut headers: HeaderMap = call.head.headers.clone();
+        strip_hop_by_hop(&mut headers);
+        headers.remove(EXPECT);
+        let left_ms = call.give_up.ns_since(self.now) / 1_000_000;
+        headers.insert(
+            self.headers.deadline_ms.clone(),
+            HeaderValue::from(left_ms.max(1)),
+        );
+        let id = HeaderValue::from_str(self.target.id()).ok()?;
+        headers.insert(self.headers.expected_target.clone(), id);
+        let path = call.head.uri.path_and_query().cloned()?;
+        let mut request = Request::new(Full::new(call.body.clone()));
+        *request.method_mut() = call.head.method.clone();
+        *request.uri_mut() = Uri::from(path);
+        *request.version_mut() = Version::HTTP_11;
+        *request.headers_mut() = headers;
+        Some(request)
+    }
+
+    /// Sends the request and takes the answer in.
+    pub(crate) async fn exchange(
+        &self,
+        mut connection: Connection,
+        link: Arc<Link>,
+        in_flight: InFlight,
+    ) -> Exchanged {
+        let Some(request) = self.request() else {
+            return (
+                AttemptEnd::NeverSent,
+                None,
+                "the request cannot be passed on",
+            );
+        };
+        let (head, body) = match connection.send(request).await {
+            Ok(response) => response.into_parts(),
+            Err(SendFault::NeverSent) => {
+                return (AttemptEnd::NeverSent, None, "the connection was closed");
+            }
+            Err(SendFault::Broke) => {
+                return (AttemptEnd::Broke, None, "the connection broke");
+            }
+        };
+        if head.headers.get(&self.headers.request_id) != Some(&self.call.id) {
+            return (
+                AttemptEnd::Broke,
+                None,
+                "the answer belongs to another request",
+            );
+        }
+        let is_not_run = head.headers.contains_key(&self.headers.not_run)
+            || head.status == StatusCode::MISDIRECTED_REQUEST;
+        if is_not_run {
+            return (AttemptEnd::NotRun, None, "the target did not run it");
+        }
+        if text(&head.headers, &self.headers.signature).is_none() {
+            return (AttemptEnd::Broke, None, "the answer bears no signature");
+        }
+        let end = if head.status.is_server_error() {
+            AttemptEnd::Failed
+        } else {
+            AttemptEnd::Answered
+        };
+        match take_body(body, connection, link, in_flight).await {
+            Some(body) => {
+                let mut response = Response::from_parts(head, body);
+                strip_hop_by_hop(response.headers_mut());
+                (end, Some(response), "the target answered")
+            }
+            None => (AttemptEnd::Broke, None, "the answer broke off"),
+        }
+    }
+}
+
+/// Takes in a small answer whole; a large one, or one of unknown length, is passed on as it
+/// arrives.
+async fn take_body(
+    incoming: Incoming,
+    mut connection: Connection,
+    link: Arc<Link>,
+    in_flight: InFlight,
+) -> Option<AnswerBody> {
+    let is_small = incoming
+        .size_hint()
+        .exact()
+        .is_some_and(|bytes| bytes <= WHOLE_ANSWER_BYTES);
+    if !is_small {
+        return Some(AnswerBody::Stream(Box::new(StreamedAnswer {
+            incoming,
+            connection: Some(connection),
+            link,
+            _in_flight: in_flight,
+        })));
+    }
+    let bytes = incoming.collect().await.ok()?.to_bytes();
+    connection.served_at = Some(Instant::now());
+    link.put_back(connection);
+    Some(AnswerBody::full(bytes))
+}
+
+impl Attempted {
+    /// An attempt for which no target was found.
+    pub(crate) const fn unplaced(cause: &'static str) -> Self {
+        Self {
+            end: AttemptEnd::Unplaced,
+            response: None,
+            target: None,
+            load: None,
+            took_us: 0,
+            cause,
+        }
+    }
+
+    /// Returns the name of the target.
+    pub(crate) fn target_id(&self) -> Option<&Name> {
+        self.target.as_deref().map(Target::id)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/call.rs
@@ -0,0 +1,128 @@
+//! One request of a caller.
+
+use crate::WireHeaders;
+use crate::probe::text;
+use bytes::Bytes;
+use heatherhinge_orders::{Route, RouteTable};
+use heatherhinge_types::{Code, Digest, MonoNs, Name};
+use http::header::{CONNECTION, HOST, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::request::Parts;
+use http::{HeaderMap, HeaderValue};
+use http_body_util::{BodyExt, LengthLimitError, Limited};
+use hyper::body::Incoming;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Deadline of a request that states none, in milliseconds.
+const DEFAULT_DEADLINE_MS: u64 = 10_000;
+/// Part of the objective for which a request may be held while no target is good, as a divisor.
+const HOLD_DIVISOR: u64 = 8;
+/// Objective of a route that states none, in milliseconds.
+const DEFAULT_OBJECTIVE_MS: u64 = 500;
+/// Headers about one connection that the library has no constant for.
+const HOP_BY_HOP_OLD: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authenticate"];
+
+/// A request that has been read whole.
+#[derive(Debug)]
+pub(crate) struct Call {
+    pub(crate) id: HeaderValue,
+    pub(crate) head: Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) service: Name,
+    pub(crate) arrived: MonoNs,
+    /// When the caller leaves.
+    pub(crate) deadline: MonoNs,
+    /// When the caller gets an answer at the latest: its deadline or the route's timeout.
+    pub(crate) give_up: MonoNs,
+    /// Names requests that are alike, for those that crash targets.
+    pub(crate) digest: u64,
+    /// Version of the routes that decided.
+    pub(crate) routes_version: u64,
+}
+
+impl Call {
+    /// Returns the time until which the request may be held without a target.
+    pub(crate) fn hold_until(&self) -> MonoNs {
+        let objective_ms = self.route.objective_ms.unwrap_or(DEFAULT_OBJECTIVE_MS);
+        self.arrived
+            .plus_ms(objective_ms / HOLD_DIVISOR)
+            .min(self.give_up)
+    }
+
+    /// Returns the request's id as text for logs.
+    pub(crate) fn id_text(&self) -> &str {
+        self.id.to_str().unwrap_or("-")
+    }
+}
+
+/// Finds the route of a request.
+pub(crate) fn find_route(head: &Parts, table: &RouteTable) -> Result<Arc<Route>, Code> {
+    if !table.is_known() {
+        return Err(Code::NoBundle);
+    }
+    let host = text(&head.headers, &HOST).ok_or(Code::BadRequestHead)?;
+    let host = host.rsplit_once(':').map_or(host, |(name, _)| name);
+    table
+        .find(host, head.uri.path())
+        .cloned()
+        .ok_or(Code::UnknownRoute)
+}
+
+/// Reads the time that a caller will wait.
+pub(crate) fn deadline_ms(headers: &HeaderMap, names: &WireHeaders) -> Result<u64, Code> {
+    match headers.get(&names.deadline_ms) {
+        None => Ok(DEFAULT_DEADLINE_MS),
+        Some(value) => value
+            .to_str()
+            .ok()
+            .and_then(|text| text.trim().parse().ok())
+            .ok_or(Code::BadDeadline),
+    }
+}
+
+/// Reads the body of a request.
+pub(crate) async fn read_body(
+    body: Incoming,
+    limit_bytes: usize,
+    left: Duration,
+) -> Result<Bytes, Code> {
+    match timeout(left, Limited::new(body, limit_bytes).collect()).await {
+        Err(_elapsed) => Err(Code::SlowRequestBody),
+        Ok(Ok(collected)) => Ok(collected.to_bytes()),
+        Ok(Err(error)) if error.is::<LengthLimitError>() => Err(Code::BodyTooLarge),
+        Ok(Err(_)) => Err(Code::BrokenRequestBody),
+    }
+}
+
+/// Digests what is the same when a caller sends a request again: host, method, path and body.
+pub(crate) fn digest(head: &Parts, body: &Bytes) -> u64 {
+    let host = head
+        .headers
+        .get(HOST)
+        .map_or(&b""[..], |value| value.as_bytes());
+    let path = head.uri.path_and_query().map_or("/", |path| path.as_str());
+    let parts = [host, head.method.as_str().as_bytes(), path.as_bytes(), body];
+    Digest::of_parts(&parts).0 as u64
+}
+
+/// Removes the headers that are about one connection, those that `Connection` names included.
+pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+    let named: Vec<HeaderName> = headers
+        .get_all(CONNECTION)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|name| name.trim().parse().ok())
+        .collect();
+    for name in named {
+        headers.remove(name);
+    }
+    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
+        headers.remove(name);
+    }
+    for name in HOP_BY_HOP_OLD {
+        headers.remove(name);
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/conductor.rs
@@ -0,0 +1,579 @@
+//! Steps the controllers and publishes what they decide.
+
+use crate::caller_server::{ListenMode, OpenConnections};
+use crate::events::GatewayEvent;
+use crate::fleet_board::{FleetBoard, FleetWriters};
+use crate::fleet_service::SyncAnswer;
+use crate::forward::Forwarder;
+use crate::intake::OrderBook;
+use crate::io::Io;
+use crate::links::Links;
+use crate::{GatewaySettings, Platform, StoreFault, StoredTable, WriteOutcome};
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{
+    BeatId, CrashWatch, DrainNext, HostStage, HostState, Membership, MoveControl, MoveEffect,
+    MoveReport, Replica, ReportedState, RetryBudget, RouteStat, SteeringBoard, SteeringWriters,
+    TableUpdate, TargetControl, TargetInputs, drain_next, place,
+};
+use heatherhinge_types::{MonoNs, Name};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::{mpsc, oneshot, watch};
+use tokio::time::MissedTickBehavior;
+
+/// Time between two steps of the controllers.
+const TICK: Duration = Duration::from_millis(150);
+/// Steps between exchanges with other hosts.
+const TICKS_PER_SYNC: u64 = 2;
+/// Hosts that are asked in each exchange.
+const SYNC_PARTNERS: usize = 2;
+/// Age at which a host that has the duty reads the registrations again, in milliseconds.
+const READER_AGE_MS: u64 = 650;
+/// Age at which any other host reads the registrations itself, in milliseconds. A target that
+/// leaves gets no more requests 2 s after the store has it.
+const FOLLOWER_AGE_MS: u64 = 1_350;
+/// Hosts for each reader of the registrations.
+const HOSTS_PER_READER: usize = 16;
+/// Fewest readers of the registrations, so that the death of one goes unnoticed.
+const MIN_READERS: usize = 2;
+/// Pause between reads of the registered hosts while no other host is heard, in milliseconds.
+const HOSTS_PAUSE_MS: u64 = 3_000;
+/// Pause between attempts to register this host, in milliseconds.
+const REGISTER_PAUSE_MS: u64 = 1_000;
+/// Time for which a host waits for registrations before it takes callers without, in
+/// milliseconds.
+const START_WAIT_MS: u64 = 2_000;
+/// Pause after a failed read of the registrations, in milliseconds.
+const READ_PAUSE_MS: u64 = 250;
+
+/// What the conductor is made of.
+pub(crate) struct ConductorParts<P> {
+    pub(crate) settings: GatewaySettings,
+    pub(crate) board: Arc<SteeringBoard>,
+    pub(crate) writers: SteeringWriters,
+    pub(crate) fleet_board: Arc<FleetBoard>,
+    pub(crate) fleet_writers: FleetWriters,
+    pub(crate) io: Io<P>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) forwarder: Arc<Forwarder>,
+    pub(crate) clock: Clock,
+    pub(crate) incarnation: u64,
+    pub(crate) seed: u64,
+    pub(crate) mode: watch::Sender<ListenMode>,
+    pub(crate) open: Arc<OpenConnections>,
+}
+
+/// Owns the controllers and all writers of the blackboard.
+pub(crate) struct Conductor<P> {
+    parts: ConductorParts<P>,
+    membership: Membership,
+    orders: Replica,
+    targets: Replica,
+    book: OrderBook,
+    target_control: TargetControl,
+    moves: MoveControl,
+    crashes: CrashWatch,
+    rng: Pcg64Mcg,
+    started: MonoNs,
+    beat: u64,
+    ticks: u64,
+    is_reading: bool,
+    next_read: MonoNs,
+    next_hosts_read: MonoNs,
+    next_register: MonoNs,
+    is_registered: bool,
+    is_store_lost: bool,
+    stop_since: Option<MonoNs>,
+}
+
+impl<P: Platform> Conductor<P> {
+    pub(crate) fn new(parts: ConductorParts<P>, membership: Membership) -> Self {
+        let started = parts.clock.mono_ns();
+        Self {
+            membership,
+            orders: Replica::default(),
+            targets: Replica::default(),
+            book: OrderBook::default(),
+            target_control: TargetControl::default(),
+            moves: MoveControl::default(),
+            crashes: CrashWatch::default(),
+            rng: Pcg64Mcg::seed_from_u64(parts.seed),
+            started,
+            beat: 0,
+            ticks: 0,
+            is_reading: false,
+            next_read: started,
+            next_hosts_read: started,
+            next_register: started,
+            is_registered: false,
+            is_store_lost: false,
+            stop_since: None,
+            parts,
+        }
+    }
+
+    /// Runs until the host has stopped.
+    pub(crate) async fn run(
+        mut self,
+        mut events: mpsc::Receiver<GatewayEvent>,
+        exit: oneshot::Sender<()>,
+    ) {
+        self.parts.io.watch_orders();
+        let mut tick = tokio::time::interval(TICK);
+        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        loop {
+            tokio::select! {
+                Some(event) = events.recv() => self.take(event),
+                _ = tick.tick() => {
+                    if self.tick() == DrainNext::Exit {
+                        break;
+                    }
+                }
+            }
+        }
+        // An error means that nobody waits for the end.
+        exit.send(()).ok();
+    }
+
+    fn now(&self) -> MonoNs {
+        self.parts.clock.mono_ns()
+    }
+
+    fn take(&mut self, event: GatewayEvent) {
+        match event {
+            GatewayEvent::Stored { table, result } => self.stored(table, result),
+            GatewayEvent::Synced(answer) => self.synced(*answer),
+            GatewayEvent::Heard(state) => self.heard(*state),
+            GatewayEvent::HostsRead(addrs) => {
+                for addr in addrs {
+                    if addr != self.parts.settings.peer_addr {
+                        self.membership.add_lead(addr);
+                    }
+                }
+            }
+            GatewayEvent::Registered(result) => match result {
+                Ok(()) => tracing::info!("fleet: this host is registered"),
+                Err(error) => {
+                    tracing::info!("fleet: this host was not registered: {error}");
+                    self.is_registered = false;
+                    self.next_register = self.now().plus_ms(REGISTER_PAUSE_MS);
+                }
+            },
+            GatewayEvent::ReportRead { service, result } => match result {
+                Ok(report) => self.moves.set_report(&service, report, self.now()),
+                Err(error) => {
+                    tracing::info!(%service, "moves: the report was not read: {error}");
+                    self.moves.report_unknown(&service);
+                }
+            },
+            GatewayEvent::ReportWritten {
+                service,
+                to,
+                state,
+                result,
+            } => self.report_written(&service, to, state, result),
+            GatewayEvent::Crashed { digest } => {
+                self.crashes.count(digest, self.now());
+                self.publish_held_back();
+            }
+            GatewayEvent::Stop => self.begin_stop(),
+            GatewayEvent::Reload => tracing::info!("gateway: the settings are unchanged"),
+        }
+    }
+
+    fn stored(&mut self, table: StoredTable, result: Result<TableUpdate, StoreFault>) {
+        if table == StoredTable::Targets {
+            self.is_reading = false;
+        }
+        match result {
+            Ok(update) => {
+                if self.is_store_lost {
+                    self.is_store_lost = false;
+                    tracing::info!(%table, version = update.version, "store: it answers again");
+                }
+                self.apply(table, &update);
+            }
+            Err(StoreFault::HistoryLost) if table == StoredTable::Targets => {
+                self.is_reading = true;
+                self.parts.io.read(table, 0);
+            }
+            Err(StoreFault::HistoryLost) => {}
+            Err(error) => {
+                self.next_read = self.now().plus_ms(READ_PAUSE_MS);
+                if !self.is_store_lost {
+                    self.is_store_lost = true;
+                    tracing::warn!(%table, "store: {error}");
+                }
+            }
+        }
+    }
+
+    fn apply(&mut self, table: StoredTable, update: &TableUpdate) {
+        match table {
+            StoredTable::Orders => self.apply_orders(update),
+            StoredTable::Targets => self.apply_targets(update),
+        }
+    }
+
+    fn apply_orders(&mut self, update: &TableUpdate) {
+        let now = self.now();
+        let applied = self.orders.apply(update, now);
+        self.parts.fleet_writers.orders.publish(self.orders.clone());
+        if applied.is_empty() {
+            return;
+        }
+        let platform = Arc::clone(&self.parts.io.platform);
+        for change in &applied {
+            self.book.apply(platform.as_ref(), change);
+        }
+        let names: Vec<Name> = self.book.route_names();
+        self.moves.set_orders(self.book.moves(), &names, now);
+        self.publish_routes();
+        self.publish_targets();
+    }
+
+    fn publish_routes(&mut self) {
+        let table = self.book.routes();
+        let writers = &mut self.parts.writers;
+        if !writers.routes.publish_if_changed(table.clone()) {
+            return;
+        }
+        tracing::info!(version = table.version, "orders: routes in force");
+        let old = Arc::clone(&self.parts.board.budgets.read_owned());
+        let limits = self.parts.settings.budget;
+        let budget = |name: &Name| {
+            let known = old.value.get(name).map(Arc::clone);
+            known.unwrap_or_else(|| Arc::new(RetryBudget::new(limits)))
+        };
+        let budgets = table
+            .services
+            .keys()
+            .map(|name| (name.clone(), budget(name)));
+        writers.budgets.publish(budgets.collect());
+        let old = Arc::clone(&self.parts.board.route_stats.read_owned());
+        let seed = self.parts.seed;
+        let stat = |name: &Name| {
+            let known = old.value.get(name).map(Arc::clone);
+            known.unwrap_or_else(|| Arc::new(RouteStat::new(seed)))
+        };
+        let stats = table
+            .routes()
+            .map(|route| (route.name.clone(), stat(&route.name)));
+        writers.route_stats.publish(stats.collect());
+    }
+
+    fn apply_targets(&mut self, update: &TableUpdate) {
+        let now = self.now();
+        let before = self.targets.as_of();
+        let applied = self.targets.apply(update, now);
+        let gap_ms = self.targets.as_of().ms_since(before);
+        self.parts
+            .fleet_writers
+            .targets
+            .publish(self.targets.clone());
+        if applied.is_empty() {
+            return;
+        }
+        for change in &applied {
+            self.apply_target(change, gap_ms, now);
+        }
+        self.publish_targets();
+    }
+
+    fn apply_target(
+        &mut self,
+        change: &heatherhinge_steering::AppliedChange,
+        gap_ms: u64,
+        now: MonoNs,
+    ) {
+        let Some(row) = &change.row else {
+            tracing::info!(target = %change.key, gap_ms, "targets: the entry is gone");
+            self.target_control.remove(&change.key, gap_ms, now);
+            return;
+        };
+        match self.parts.io.platform.target(&change.key, &row.content) {
+            Ok(entry) => self.target_control.set(entry, now),
+            Err(error) => {
+                tracing::debug!(key = %change.key, "targets: an entry names no target: {error}");
+                self.target_control.remove(&change.key, 0, now);
+            }
+        }
+    }
+
+    fn publish_targets(&mut self) {
+        let fleet = self.parts.board.fleet.read_owned();
+        let routes = self.parts.board.routes.read_owned();
+        let gauges = self.moves.gauges();
+        let table = self.target_control.table(
+            self.targets.version(),
+            &TargetInputs {
+                host: &self.parts.settings.host,
+                zone: &self.parts.settings.zone,
+                routes: &routes.value,
+                zones_out: self.book.zones_out(),
+                gauges: &gauges,
+                fleet: &fleet.value,
+            },
+        );
+        let ids: BTreeSet<Name> = table
+            .pools
+            .values()
+            .flat_map(|pool| [&pool.current, &pool.moving])
+            .flat_map(|group| group.near.iter().chain(&group.far))
+            .map(|target| target.id().clone())
+            .collect();
+        self.parts.links.retain(&ids);
+        self.parts.writers.targets.publish(table);
+    }
+
+    fn publish_held_back(&mut self) {
+        let fleet = self.parts.board.fleet.read_owned();
+        let held_back = self
+            .crashes
+            .held_back(&self.parts.settings.host, &fleet.value);
+        let count = held_back.len();
+        if self.parts.writers.held_back.publish_if_changed(held_back) {
+            tracing::info!(count, "crashes: the requests held back have changed");
+        }
+    }
+
+    fn heard(&mut self, state: HostState) {
+        let now = self.now();
+        let name = state.host.clone();
+        if self.membership.hear(state, now) {
+            tracing::debug!(host = %name, "fleet: heard");
+        }
+    }
+
+    fn synced(&mut self, answer: SyncAnswer) {
+        for state in answer.states {
+            self.heard(state);
+        }
+        if let Some(update) = answer.orders {
+            self.apply_orders(&update);
+        }
+        if let Some(update) = answer.targets {
+            self.apply_targets(&update);
+        }
+    }
+
+    fn own_state(&self, now: MonoNs) -> HostState {
+        let settings = &self.parts.settings;
+        HostState {
+            host: settings.host.clone(),
+            id: BeatId {
+                incarnation: self.parts.incarnation,
+                beat: self.beat,
+            },
+            caller_addr: settings.caller_addr,
+            peer_addr: settings.peer_addr,
+            zone: settings.zone.clone(),
+            stage: self.parts.board.stage(),
+            orders_version: self.orders.version(),
+            moves: self.moves.states(now),
+            crashes: self.crashes.tallies(),
+        }
+    }
+
+    fn tick(&mut self) -> DrainNext {
+        let now = self.now();
+        self.ticks += 1;
+        self.check_ready(now);
+        if self.target_control.expire(now) {
+            self.publish_targets();
+        }
+        if self.ticks.is_multiple_of(TICKS_PER_SYNC) {
+            self.sync(now);
+        }
+        self.step_moves(now);
+        self.read_targets(now);
+        self.find_hosts(now);
+        self.drain(now)
+    }
+
+    fn check_ready(&mut self, now: MonoNs) {
+        let board = &self.parts.board;
+        if board.stage() != HostStage::Starting || !board.routes.read().value.is_known() {
+            return;
+        }
+        let has_waited = now.ms_since(self.started) >= START_WAIT_MS;
+        if !self.target_control.is_empty() || has_waited {
+            board.set_stage(HostStage::Ready);
+            tracing::info!(
+                routes_version = board.routes.read().value.version,
+                targets = self.target_control.len(),
+                "gateway: ready for callers"
+            );
+        }
+    }
+
+    fn sync(&mut self, now: MonoNs) {
+        self.beat += 1;
+        let own = self.own_state(now);
+        self.membership.set_own(own.clone(), now);
+        self.membership.forget_silent(now);
+        let fleet = self.membership.view(now);
+        let before = self.parts.board.fleet.read_owned();
+        let hosts = |view: &heatherhinge_steering::FleetView| -> Vec<(Name, HostStage)> {
+            let of = |host: &HostState| (host.host.clone(), host.stage);
+            view.live.iter().map(of).collect()
+        };
+        let has_changed = hosts(&before.value) != hosts(&fleet);
+        if has_changed {
+            tracing::info!(
+                live = fleet.live.len(),
+                ready = fleet.ready().count(),
+                known = fleet.known,
+                "fleet: the live hosts have changed"
+            );
+        }
+        self.parts.writers.fleet.publish(fleet);
+        self.parts
+            .fleet_writers
+            .membership
+            .publish(self.membership.clone());
+        self.publish_held_back();
+        if has_changed {
+            self.publish_targets();
+        }
+        let partners = self.membership.partners(SYNC_PARTNERS, now, &mut self.rng);
+        for addr in partners {
+            let request = self.parts.fleet_board.request(own.clone(), now);
+            self.parts.io.sync(addr, request);
+        }
+    }
+
+    fn step_moves(&mut self, now: MonoNs) {
+        let fleet = self.parts.board.fleet.read_owned();
+        let effects = self
+            .moves
+            .step(&self.parts.settings.host, &fleet.value, now);
+        for effect in effects {
+            match effect {
+                MoveEffect::ReadReport(service) => self.parts.io.read_report(service),
+                MoveEffect::WriteReport {
+                    service,
+                    to,
+                    state,
+                    expected_version,
+                } => {
+                    tracing::info!(%service, %to, ?state, expected_version, "moves: writing a report");
+                    self.parts
+                        .io
+                        .write_report(service, to, state, expected_version);
+                }
+                MoveEffect::Note {
+                    service,
+                    stage,
+                    reason,
+                } => tracing::info!(%service, ?stage, reason, "moves: a move has a new stage"),
+            }
+        }
+    }
+
+    fn report_written(
+        &mut self,
+        service: &Name,
+        to: Name,
+        state: ReportedState,
+        result: Result<WriteOutcome, StoreFault>,
+    ) {
+        match result {
+            Ok(WriteOutcome::Written(version)) => {
+                tracing::info!(%service, %to, ?state, version, "moves: the report was written");
+                let report = MoveReport { to, state, version };
+                self.moves.set_report(service, Some(report), self.now());
+            }
+            Ok(WriteOutcome::Conflict) => {
+                tracing::info!(%service, "moves: another report was there first");
+                self.moves.report_unknown(service);
+            }
+            Err(error) => {
+                tracing::info!(%service, "moves: the report's fate is unknown: {error}");
+                self.moves.report_unknown(service);
+            }
+        }
+    }
+
+    fn read_targets(&mut self, now: MonoNs) {
+        if self.is_reading || now < self.next_read {
+            return;
+        }
+        let fleet = self.parts.board.fleet.read();
+        let readers = fleet
+            .value
+            .live
+            .len()
+            .div_ceil(HOSTS_PER_READER)
+            .max(MIN_READERS);
+        let place = place("registrations", &self.parts.settings.host, &fleet.value);
+        let is_reader = place.is_some_and(|place| place < readers);
+        let due_ms = if is_reader {
+            READER_AGE_MS
+        } else {
+            FOLLOWER_AGE_MS
+        };
+        if self.targets.age_ms(now) >= due_ms {
+            self.is_reading = true;
+            self.parts
+                .io
+                .read(StoredTable::Targets, self.targets.version());
+        }
+    }
+
+    fn find_hosts(&mut self, now: MonoNs) {
+        if !self.is_registered && now >= self.next_register {
+            self.is_registered = true;
+            let settings = &self.parts.settings;
+            self.parts
+                .io
+                .register(settings.host.clone(), settings.peer_addr);
+        }
+        let is_alone = !self.membership.others().any(|host| host.is_live(now));
+        if is_alone && now >= self.next_hosts_read {
+            self.next_hosts_read = now.plus_ms(HOSTS_PAUSE_MS);
+            self.parts.io.read_hosts();
+        }
+    }
+
+    fn begin_stop(&mut self) {
+        if self.stop_since.is_some() {
+            return;
+        }
+        let now = self.now();
+        self.stop_since = Some(now);
+        self.parts.board.set_stage(HostStage::Leaving);
+        self.parts.mode.send_replace(ListenMode::CloseAfterAnswer);
+        tracing::info!(
+            connections = self.parts.open.count(),
+            "gateway: a planned stop begins"
+        );
+        self.sync(now);
+    }
+
+    fn drain(&mut self, now: MonoNs) -> DrainNext {
+        let Some(since) = self.stop_since else {
+            return DrainNext::Serve;
+        };
+        let in_flight = self.parts.open.count();
+        let next = drain_next(since, now, self.parts.settings.grace_ms, in_flight);
+        if next != DrainNext::Serve {
+            self.parts
+                .forwarder
+                .is_closed
+                .store(true, Ordering::Release);
+            self.parts.mode.send_replace(ListenMode::Closed);
+        }
+        if next == DrainNext::Exit {
+            tracing::info!(
+                connections = in_flight,
+                "gateway: the planned stop is complete"
+            );
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/events.rs
@@ -0,0 +1,66 @@
+//! What the conductor is told.
+
+use crate::fleet_service::SyncAnswer;
+use crate::{StoreFault, StoredTable, WriteOutcome};
+use heatherhinge_steering::{HostState, MoveReport, ReportedState, TableUpdate};
+use heatherhinge_types::Name;
+use std::net::SocketAddr;
+use tokio::sync::mpsc;
+
+/// Events that may wait for the conductor. Only exchanges between hosts and rare faults make
+/// events, so a full queue means that the conductor has stopped.
+const QUEUE_LENGTH: usize = 1_024;
+
+/// An event for the conductor.
+#[derive(Debug)]
+pub(crate) enum GatewayEvent {
+    /// A table was read, or the call failed.
+    Stored {
+        table: StoredTable,
+        result: Result<TableUpdate, StoreFault>,
+    },
+    /// Another host answered an exchange.
+    Synced(Box<SyncAnswer>),
+    /// Another host began an exchange.
+    Heard(Box<HostState>),
+    /// The registered hosts were read.
+    HostsRead(Vec<SocketAddr>),
+    /// This host was registered.
+    Registered(Result<(), StoreFault>),
+    /// The report of a move was read.
+    ReportRead {
+        service: Name,
+        result: Result<Option<MoveReport>, StoreFault>,
+    },
+    /// The report of a move was written, or not.
+    ReportWritten {
+        service: Name,
+        to: Name,
+        state: ReportedState,
+        result: Result<WriteOutcome, StoreFault>,
+    },
+    /// A request crashed a target.
+    Crashed { digest: u64 },
+    /// The process was told to stop.
+    Stop,
+    /// The process was told that its settings have changed.
+    Reload,
+}
+
+/// Sends events to the conductor.
+#[derive(Clone, Debug)]
+pub(crate) struct EventSender(mpsc::Sender<GatewayEvent>);
+
+impl EventSender {
+    pub(crate) fn new() -> (Self, mpsc::Receiver<GatewayEvent>) {
+        let (sender, receiver) = mpsc::channel(QUEUE_LENGTH);
+        (Self(sender), receiver)
+    }
+
+    /// Sends an event without waiting; it is dropped with a log line if the queue is full.
+    pub(crate) fn send(&self, event: GatewayEvent) {
+        if let Err(error) = self.0.try_send(event) {
+            tracing::warn!("gateway: an event was dropped: {error}");
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_board.rs
@@ -0,0 +1,83 @@
+//! What a host tells the others, as snapshots.
+
+use crate::events::{EventSender, GatewayEvent};
+use crate::fleet_service::{SyncAnswer, SyncRequest};
+use heatherhinge_blackboard::{Reader, Writer, entry};
+use heatherhinge_steering::{Membership, Replica};
+use heatherhinge_types::MonoNs;
+use std::sync::Arc;
+
+/// Age by which a copy of the registrations has to be more recent to be worth sending, in
+/// milliseconds.
+const FRESHER_MS: u64 = 100;
+
+/// The entries that exchanges between hosts read. The conductor writes all of them.
+#[derive(Debug)]
+pub(crate) struct FleetBoard {
+    pub(crate) membership: Reader<Membership>,
+    pub(crate) orders: Reader<Replica>,
+    pub(crate) targets: Reader<Replica>,
+    events: EventSender,
+}
+
+/// The writers of the entries.
+#[derive(Debug)]
+pub(crate) struct FleetWriters {
+    pub(crate) membership: Writer<Membership>,
+    pub(crate) orders: Writer<Replica>,
+    pub(crate) targets: Writer<Replica>,
+}
+
+impl FleetBoard {
+    pub(crate) fn new(membership: Membership, events: EventSender) -> (Arc<Self>, FleetWriters) {
+        let (membership, membership_writer) = entry(membership);
+        let (orders, orders_writer) = entry(Replica::default());
+        let (targets, targets_writer) = entry(Replica::default());
+        let board = Arc::new(Self {
+            membership,
+            orders,
+            targets,
+            events,
+        });
+        let writers = FleetWriters {
+            membership: membership_writer,
+            orders: orders_writer,
+            targets: targets_writer,
+        };
+        (board, writers)
+    }
+
+    /// Makes the request for an exchange.
+    pub(crate) fn request(
+        &self,
+        own: heatherhinge_steering::HostState,
+        now: MonoNs,
+    ) -> SyncRequest {
+        let targets = self.targets.read();
+        SyncRequest {
+            own,
+            digest: self.membership.read().value.digest(),
+            orders_version: self.orders.read().value.version(),
+            targets_version: targets.value.version(),
+            targets_age_ms: targets.value.age_ms(now),
+        }
+    }
+
+    /// Answers an exchange.
+    pub(crate) fn answer(&self, request: SyncRequest, now: MonoNs) -> SyncAnswer {
+        let states = self.membership.read().value.newer_than(&request.digest);
+        let orders = self.orders.read();
+        let orders = (orders.value.version() > request.orders_version)
+            .then(|| orders.value.update_since(request.orders_version, now));
+        let targets = self.targets.read();
+        let is_fresher = targets.value.version() >= request.targets_version
+            && targets.value.age_ms(now).saturating_add(FRESHER_MS) < request.targets_age_ms;
+        let targets = is_fresher.then(|| targets.value.update_since(request.targets_version, now));
+        self.events.send(GatewayEvent::Heard(Box::new(request.own)));
+        SyncAnswer {
+            states,
+            orders,
+            targets,
+        }
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/fleet_service.rs
@@ -0,0 +1,181 @@
+//! The exchange between entry hosts: a `tarpc` service over TCP.
+
+use crate::fleet_board::FleetBoard;
+use futures_util::StreamExt;
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{BeatId, HostState, TableUpdate};
+use heatherhinge_types::{Code, Name};
+use serde::{Deserialize, Serialize};
+use socket2::SockRef;
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+use tarpc::client::Config;
+use tarpc::context::{self, Context};
+use tarpc::serde_transport;
+use tarpc::server::{BaseChannel, Channel};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+use tokio_serde::formats::Bincode;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+/// Largest message in bytes; a whole configuration fits well.
+const MAX_FRAME_BYTES: usize = 1 << 20;
+/// Longest time for an exchange, the time to connect included.
+const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time that sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
+/// Calls of one connection that are worked on at once.
+const MAX_CALLS_PER_CONNECTION: usize = 16;
+/// Connections to other hosts that are kept.
+const MAX_CONNECTIONS: usize = 32;
+/// Pause after a failed accept, so that running out of descriptors does not spin.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a host says of itself and what it has.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SyncRequest {
+    /// State of the asking host.
+    pub own: HostState,
+    /// States that it has.
+    pub digest: Vec<(Name, BeatId)>,
+    /// Version of its copy of the orders.
+    pub orders_version: u64,
+    /// Version of its copy of the registrations.
+    pub targets_version: u64,
+    /// Age of that copy in milliseconds.
+    pub targets_age_ms: u64,
+}
+
+/// What the asking host lacks.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(crate) struct SyncAnswer {
+    /// Newer states of hosts.
+    pub states: Vec<HostState>,
+    /// Newer orders.
+    pub orders: Option<TableUpdate>,
+    /// Newer or more recently confirmed registrations.
+    pub targets: Option<TableUpdate>,
+}
+
+/// The service.
+#[tarpc::service]
+pub(crate) trait FleetService {
+    async fn sync(request: SyncRequest) -> SyncAnswer;
+}
+
+/// Answers exchanges from the snapshots on the board.
+#[derive(Clone, Debug)]
+struct Responder {
+    board: Arc<FleetBoard>,
+    clock: Clock,
+}
+
+impl FleetService for Responder {
+    async fn sync(self, _: Context, request: SyncRequest) -> SyncAnswer {
+        self.board.answer(request, self.clock.mono_ns())
+    }
+}
+
+fn framing() -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(MAX_FRAME_BYTES)
+        .new_codec()
+}
+
+fn prepare(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))
+}
+
+/// Answers other hosts until the process ends.
+pub(crate) async fn serve(listener: TcpListener, board: Arc<FleetBoard>, clock: Clock) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, peer)) => {
+                let responder = Responder {
+                    board: Arc::clone(&board),
+                    clock,
+                };
+                tokio::spawn(serve_host(stream, peer, responder));
+            }
+            Err(error) => {
+                tracing::warn!("fleet: accepting a connection failed: {error}");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn serve_host(stream: TcpStream, peer: SocketAddr, responder: Responder) {
+    if let Err(error) = prepare(&stream) {
+        tracing::debug!(%peer, "fleet: a connection cannot be set up: {error}");
+        return;
+    }
+    let transport = serde_transport::new(Framed::new(stream, framing()), Bincode::default());
+    let requests = BaseChannel::with_defaults(transport)
+        .max_concurrent_requests(MAX_CALLS_PER_CONNECTION)
+        .requests();
+    let mut requests = std::pin::pin!(requests);
+    while let Some(next) = requests.next().await {
+        match next {
+            Ok(request) => request.execute(responder.clone().serve()).await,
+            Err(error) => {
+                tracing::info!(%peer, code = Code::PeerMalformed.number(), "fleet: a host's connection ended: {error}");
+                return;
+            }
+        }
+    }
+}
+
+/// Asks other hosts, over one connection each.
+#[derive(Debug, Default)]
+pub(crate) struct FleetClient {
+    stubs: Mutex<BTreeMap<SocketAddr, FleetServiceClient>>,
+}
+
+impl FleetClient {
+    /// Exchanges states with a host; `None` if it does not answer in time.
+    pub(crate) async fn sync(&self, addr: SocketAddr, request: SyncRequest) -> Option<SyncAnswer> {
+        let deadline = Instant::now() + SYNC_TIMEOUT;
+        let answer = timeout(SYNC_TIMEOUT, self.call(addr, request, deadline)).await;
+        if let Ok(Some(answer)) = answer {
+            return Some(answer);
+        }
+        // A connection that gave no answer may be silent for good; the next call opens a new one.
+        self.stubs.lock().await.remove(&addr);
+        None
+    }
+
+    async fn call(
+        &self,
+        addr: SocketAddr,
+        request: SyncRequest,
+        deadline: Instant,
+    ) -> Option<SyncAnswer> {
+        let known = self.stubs.lock().await.get(&addr).cloned();
+        let stub = match known {
+            Some(stub) => stub,
+            None => self.open(addr).await.ok()?,
+        };
+        let mut context = context::current();
+        context.deadline = deadline;
+        stub.sync(context, request).await.ok()
+    }
+
+    async fn open(&self, addr: SocketAddr) -> io::Result<FleetServiceClient> {
+        let stream = TcpStream::connect(addr).await?;
+        prepare(&stream)?;
+        let transport = serde_transport::new(Framed::new(stream, framing()), Bincode::default());
+        let stub = FleetServiceClient::new(Config::default(), transport).spawn();
+        let mut stubs = self.stubs.lock().await;
+        if stubs.len() >= MAX_CONNECTIONS {
+            stubs.pop_first();
+        }
+        stubs.insert(addr, stub.clone());
+        Ok(stub)
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/forward.rs
@@ -0,0 +1,474 @@
+//! A request from its arrival to its answer.
+
+use crate::answer::AnswerBody;
+use crate::attempt::{Attempted, Outgoing};
+use crate::call::{Call, deadline_ms, digest, find_route, read_body};
+use crate::events::{EventSender, GatewayEvent};
+use crate::in_flight::InFlight;
+use crate::placement::{Placer, Standard};
+use crate::refusal::refusal;
+use crate::story::Story;
+use crate::{WireHeaders, connection::Connection};
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{
+    AttemptEnd, AttemptFacts, HostStage, MoveSample, NextStep, RouteStat, Side, SteeringBoard,
+    Target, USUAL_SLOWNESS_PERCENT, after_attempt,
+};
+use heatherhinge_types::{Code, MonoNs, Name};
+use http::{HeaderValue, Request, Response};
+use hyper::body::Incoming;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::future::Future;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
+
+/// An idempotent request is sent to a second target when its answer takes longer than this part
+/// of the route's usual time, in percent.
+const SECOND_SEND_PERCENT: u64 = 170;
+/// Shortest time before a second target is tried, in milliseconds.
+const SECOND_SEND_MIN_MS: u64 = 25;
+/// Pause before a target is checked for a crash, in milliseconds.
+const CRASH_CHECK_MS: u64 = 30;
+/// Time within which an answer to an at-most-once request may still be mixed up with a late extra
+/// answer to an earlier request on the same connection, in milliseconds.
+const EXTRA_ANSWER_MS: u64 = 1_500;
+
+/// The data path of a host.
+#[derive(Debug)]
+pub struct Forwarder {
+    pub(crate) board: Arc<SteeringBoard>,
+    pub(crate) placer: Placer,
+    pub(crate) headers: WireHeaders,
+    pub(crate) clock: Clock,
+    pub(crate) events: EventSender,
+    pub(crate) seed: u64,
+    pub(crate) sequence: AtomicU64,
+    /// Set when a stopping host takes no new requests any more.
+    pub(crate) is_closed: AtomicBool,
+}
+
+/// Counts a request as in flight until its answer is ready to be passed on.
+struct Active<'a>(&'a SteeringBoard);
+
+impl Drop for Active<'_> {
+    fn drop(&mut self) {
+        self.0.counts.in_flight.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+/// What the attempts of a request share.
+struct Progress {
+    sends: u32,
+    misses: u32,
+    /// Targets that the request was sent to.
+    tried: Vec<Name>,
+    /// Whether an attempt that was sent may have run.
+    may_have_run: bool,
+    /// Answer of a target that is passed on if no attempt does better.
+    fallback: Option<Response<AnswerBody>>,
+}
+
+impl Forwarder {
+    /// Answers one request of a caller.
+    pub async fn forward(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
+        let counts = &self.board.counts;
+        counts.requests.fetch_add(1, Ordering::Relaxed);
+        counts.in_flight.fetch_add(1, Ordering::AcqRel);
+        let _active = Active(&self.board);
+        let id = request.headers().get(&self.headers.request_id).cloned();
+        match self.accept(request).await {
+            Ok(response) => response,
+            Err(code) => refusal(code, &self.headers.request_id, id.as_ref()),
+        }
+    }
+
+    async fn accept(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Code> {
+        let arrived = self.clock.mono_ns();
+        let (head, body) = request.into_parts();
+        let id = head.headers.get(&self.headers.request_id).cloned();
+        let read = self.read(head, body, arrived).await;
+        let call = read.inspect_err(|code| self.log_unread(id.as_ref(), *code))?;
+        let mut story = Story::new(&call, &self.board);
+        let result = self.run(&call, &mut story).await;
+        story.finish(&result, self.clock.mono_ns());
+        match &result {
+            Ok(_) => &self.board.counts.delivered,
+            Err(code) if code.ran() == heatherhinge_types::Ran::No => &self.board.counts.refused,
+            Err(_) => &self.board.counts.failed,
+        }
+        .fetch_add(1, Ordering::Relaxed);
+        result
+    }
+
+    fn log_unread(&self, id: Option<&HeaderValue>, code: Code) {
+        self.board.counts.refused.fetch_add(1, Ordering::Relaxed);
+        let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
+        tracing::info!(
+            request_id = id,
+            code = code.number(),
+            routes_version = self.board.routes.read().value.version,
+            "gateway: refused unread: {}",
+            code.text()
+        );
+    }
+
+    async fn read(
+        &self,
+        head: http::request::Parts,
+        body: Incoming,
+        arrived: MonoNs,
+    ) -> Result<Call, Code> {
+        if self.is_closed.load(Ordering::Acquire) {
+            return Err(Code::Leaving);
+        }
+        let table = self.board.routes.read_owned();
+        let route = find_route(&head, &table.value)?;
+        let deadline_ms = deadline_ms(&head.headers, &self.headers)?;
+        let deadline = arrived.plus_ms(deadline_ms);
+        let body_bytes = table.value.limits.body_bytes;
+        let body = read_body(body, body_bytes, Duration::from_millis(deadline_ms)).await?;
+        let stats = self.board.route_stats.read_owned();
+        let destination = match stats.value.get(&route.name) {
+            Some(stat) => stat.split.next(&route.destinations),
+            None => route.destinations.first(),
+        };
+        let service = destination.ok_or(Code::NoTarget)?.service.clone();
+        let timeout_ms = route.timeout_ms.unwrap_or(u64::MAX);
+        let none = HeaderValue::from_static("");
+        Ok(Call {
+            id: head
+                .headers
+                .get(&self.headers.request_id)
+                .cloned()
+                .unwrap_or(none),
+            digest: digest(&head, &body),
+            head,
+            body,
+            service,
+            arrived,
+            deadline,
+            give_up: arrived.plus_ms(timeout_ms).min(deadline),
+            route,
+            routes_version: table.value.version,
+        })
+    }
+
+    async fn run(&self, call: &Call, story: &mut Story<'_>) -> Result<Response<AnswerBody>, Code> {
+        let now = self.clock.mono_ns();
+        if self.board.held_back.read().value.contains(&call.digest) {
+            return Err(Code::HeldBack);
+        }
+        if let Some(budget) = self.board.budgets.read().value.get(&call.service) {
+            budget.count_request(now);
+        }
+        let stat = self.route_stat(call);
+        let mut progress = Progress {
+            sends: 0,
+            misses: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+            fallback: None,
+        };
+        let is_sent = AtomicBool::new(false);
+        let mut attempts = FuturesUnordered::new();
+        attempts.push(self.attempt(call, Vec::new(), Standard::Best, &is_sent));
+        let give_up = tokio::time::sleep(Duration::from_nanos(call.give_up.ns_since(now)));
+        tokio::pin!(give_up);
+        let second_send = sleep_until(second_send_at(stat.as_deref()));
+        tokio::pin!(second_send);
+        let mut may_second_send = call.route.kind.is_idempotent() && call.route.max_attempts > 1;
+        loop {
+            let attempted = tokio::select! {
+                Some(attempted) = attempts.next() => attempted,
+                () = &mut second_send, if may_second_send => {
+                    may_second_send = false;
+                    if is_sent.load(Ordering::Acquire) && self.take_repeat(call) {
+                        story.second_send();
+                        let tried = progress.tried.clone();
+                        attempts.push(self.attempt(call, tried, Standard::GoodOnly, &is_sent));
+                    }
+                    continue;
+                }
+                () = &mut give_up => {
+                    return self.end_late(&mut progress, is_sent.load(Ordering::Acquire));
+                }
+            };
+            self.learn(call, &attempted, stat.as_deref());
+            story.attempted(&attempted);
+            if let Some(id) = attempted.target_id() {
+                progress.tried.push(id.clone());
+            }
+            let pending = attempts.len();
+            match progress.next(call, attempted, pending) {
+                Decision::Deliver(response) => return Ok(*response),
+                Decision::Await => {}
+                Decision::End(code) => return progress.fallback.take().ok_or(code),
+                Decision::TryAgain {
+                    draws_on_budget,
+                    otherwise,
+                } => {
+                    if draws_on_budget && !self.take_repeat(call) {
+                        return progress.fallback.take().ok_or(otherwise);
+                    }
+                    let tried = progress.tried.clone();
+                    attempts.push(self.attempt(call, tried, Standard::Best, &is_sent));
+                }
+            }
+        }
+    }
+
+    fn route_stat(&self, call: &Call) -> Option<Arc<RouteStat>> {
+        let stats = self.board.route_stats.read();
+        stats.value.get(&call.route.name).map(Arc::clone)
+    }
+
+    fn take_repeat(&self, call: &Call) -> bool {
+        let hosts = self.board.fleet.read().value.known;
+        let budgets = self.board.budgets.read();
+        let taken = budgets
+            .value
+            .get(&call.service)
+            .is_some_and(|budget| budget.take_repeat(self.clock.mono_ns(), hosts));
+        if taken {
+            self.board.counts.repeats.fetch_add(1, Ordering::Relaxed);
+        }
+        taken
+    }
+
+    fn end_late(
+        &self,
+        progress: &mut Progress,
+        is_sent: bool,
+    ) -> Result<Response<AnswerBody>, Code> {
+        if let Some(response) = progress.fallback.take() {
+            return Ok(response);
+        }
+        Err(if is_sent {
+            Code::DeadlinePassed
+        } else {
+            Code::DeadlineTooShort
+        })
+    }
+
+    fn attempt<'a>(
+        &'a self,
+        call: &'a Call,
+        tried: Vec<Name>,
+        standard: Standard,
+        is_sent: &'a AtomicBool,
+    ) -> impl Future<Output = Attempted> + 'a {
+        let number = self.sequence.fetch_add(1, Ordering::Relaxed);
+        let mut rng = Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(number));
+        async move {
+            let placed = self.placer.place(call, &tried, standard, &mut rng).await;
+            let mut placed = match placed {
+                Ok(placed) => placed,
+                Err(code) => return Attempted::unplaced(code.text()),
+            };
+            let target = Arc::clone(&placed.probed.target);
+            let load = placed.probed.load;
+            let Some((connection, link)) = placed.probed.take() else {
+                return Attempted::unplaced("the connection is gone");
+            };
+            let side = placed.side;
+            let connection = match self.fit_for(call, &target, connection).await {
+                Ok(connection) => connection,
+                Err(cause) => return Attempted::unplaced(cause),
+            };
+            let in_flight = self.begin(call, &target, side);
+            is_sent.store(true, Ordering::Release);
+            let started = self.clock.mono_ns();
+            let outgoing = Outgoing {
+                call,
+                headers: &self.headers,
+                target: &target,
+                now: started,
+            };
+            let (end, response, cause) = outgoing.exchange(connection, link, in_flight).await;
+            let took_us = self.clock.mono_ns().ns_since(started) / 1_000;
+            self.count_for_move(call, side, end, took_us, load.slowness_percent);
+            Attempted {
+                end,
+                response,
+                target: Some(target),
+                load: Some(load),
+                took_us,
+                cause,
+            }
+        }
+    }
+
+    /// Opens a new connection for an at-most-once request where a late extra answer could still
+    /// arrive on this one and be taken for the request's own.
+    async fn fit_for(
+        &self,
+        call: &Call,
+        target: &Target,
+        connection: Connection,
+    ) -> Result<Connection, &'static str> {
+        let recent = Duration::from_millis(EXTRA_ANSWER_MS);
+        let is_doubtful = connection
+            .served_at
+            .is_some_and(|served| served.elapsed() < recent);
+        if call.route.kind.is_idempotent() || !is_doubtful {
+            return Ok(connection);
+        }
+        drop(connection);
+        crate::links::Links::open(target, &self.board.counts)
+            .await
+            .map_err(|_| "no connection could be opened")
+    }
+
+    fn begin(&self, call: &Call, target: &Arc<Target>, side: Side) -> InFlight {
+        self.board.counts.sends.fetch_add(1, Ordering::Relaxed);
+        let pools = self.board.targets.read();
+        let gauge = pools
+            .value
+            .pools
+            .get(&call.service)
+            .and_then(|pool| pool.gauge.clone());
+        InFlight::begin(Arc::clone(target), gauge, side)
+    }
+
+    fn count_for_move(
+        &self,
+        call: &Call,
+        side: Side,
+        end: AttemptEnd,
+        took_us: u64,
+        slowness_percent: u32,
+    ) {
+        let table = self.board.targets.read();
+        let pool = table.value.pools.get(&call.service);
+        let Some(gauge) = pool.and_then(|pool| pool.gauge.as_ref()) else {
+            return;
+        };
+        let sample = match end {
+            AttemptEnd::Answered => MoveSample::Good(at_usual_speed(took_us, slowness_percent)),
+            AttemptEnd::Failed | AttemptEnd::Broke => MoveSample::Bad,
+            AttemptEnd::Unplaced | AttemptEnd::NeverSent | AttemptEnd::NotRun => return,
+        };
+        gauge.count(&call.route.name, side, sample);
+    }
+
+    /// Takes in what an attempt shows of its target and route.
+    fn learn(&self, call: &Call, attempted: &Attempted, stat: Option<&RouteStat>) {
+        let Some(target) = &attempted.target else {
+            return;
+        };
+        match attempted.end {
+            AttemptEnd::Answered => {
+                target.cell.succeed();
+                let slowness = attempted.load.map_or(0, |load| load.slowness_percent);
+                if let Some(stat) = stat.filter(|_| slowness == USUAL_SLOWNESS_PERCENT) {
+                    stat.count(attempted.took_us);
+                }
+            }
+            AttemptEnd::Failed => target.cell.fail(self.clock.mono_ns()),
+            AttemptEnd::Broke => {
+                target.cell.fail(self.clock.mono_ns());
+                self.check_crash(call, target);
+            }
+            AttemptEnd::NotRun => target.cell.fail(self.clock.mono_ns()),
+            AttemptEnd::Unplaced | AttemptEnd::NeverSent => {}
+        }
+    }
+
+    /// Finds out whether a target that broke off has crashed, and counts that for the request.
+    fn check_crash(&self, call: &Call, target: &Arc<Target>) {
+        let (events, digest, addr) = (self.events.clone(), call.digest, target.entry.addr);
+        let id = call.id_text().to_owned();
+        tokio::spawn(async move {
+            tokio::time::sleep(Duration::from_millis(CRASH_CHECK_MS)).await;
+            if Connection::open(addr).await.is_err() {
+                tracing::info!(request_id = id, %addr, "gateway: a target crashed at a request");
+                events.send(GatewayEvent::Crashed { digest });
+            }
+        });
+    }
+
+    /// Returns whether the host takes callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.board.stage() == HostStage::Ready
+    }
+}
+
+/// What a request does after an attempt.
+enum Decision {
+    Deliver(Box<Response<AnswerBody>>),
+    Await,
+    TryAgain {
+        draws_on_budget: bool,
+        otherwise: Code,
+    },
+    End(Code),
+}
+
+impl Progress {
+    fn next(&mut self, call: &Call, attempted: Attempted, pending: usize) -> Decision {
+        match attempted.end {
+            AttemptEnd::Unplaced | AttemptEnd::NeverSent => self.misses += 1,
+            AttemptEnd::NotRun => self.sends += 1,
+            AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Broke => {
+                self.sends += 1;
+                self.may_have_run = true;
+            }
+        }
+        let facts = AttemptFacts {
+            end: attempted.end,
+            is_idempotent: call.route.kind.is_idempotent(),
+            sends: self.sends,
+            misses: self.misses,
+            max_sends: call.route.max_attempts.max(1),
+            pending,
+        };
+        let otherwise = self.code(attempted.end);
+        let step = after_attempt(&facts);
+        match (step, attempted.response) {
+            (NextStep::Deliver, Some(response)) => Decision::Deliver(Box::new(response)),
+            (NextStep::Deliver, None) => Decision::End(Code::TargetBroke),
+            (step, response) => {
+                self.fallback = response.or(self.fallback.take());
+                match step {
+                    NextStep::TryAgain { draws_on_budget } => Decision::TryAgain {
+                        draws_on_budget,
+                        otherwise,
+                    },
+                    NextStep::Await => Decision::Await,
+                    NextStep::Deliver | NextStep::End => Decision::End(otherwise),
+                }
+            }
+        }
+    }
+
+    /// Returns the code that ends the request when nothing better comes.
+    fn code(&self, end: AttemptEnd) -> Code {
+        if self.may_have_run {
+            return Code::TargetBroke;
+        }
+        match end {
+            AttemptEnd::NotRun => Code::TargetShed,
+            AttemptEnd::NeverSent => Code::NoTarget,
+            _ => Code::QueueFull,
+        }
+    }
+}
+
+fn at_usual_speed(took_us: u64, slowness_percent: u32) -> u64 {
+    took_us * u64::from(USUAL_SLOWNESS_PERCENT) / u64::from(slowness_percent.max(1))
+}
+
+fn second_send_at(stat: Option<&RouteStat>) -> Instant {
+    let usual_us = stat
+        .and_then(RouteStat::usual_us)
+        .unwrap_or(u64::MAX / 1_000);
+    let after_ms = (usual_us.saturating_mul(SECOND_SEND_PERCENT) / 100_000).max(SECOND_SEND_MIN_MS);
+    // A far away time stands for "never".
+    Instant::now() + Duration::from_millis(after_ms.min(3_600_000))
+}
--- /dev/null
+++ b/crates/gateway/src/gateway.rs
@@ -0,0 +1,191 @@
+//! One entry host on a platform.
+
+use crate::caller_server::{ListenMode, OpenConnections, serve_callers, serve_router};
+use crate::conductor::{Conductor, ConductorParts};
+use crate::events::{EventSender, GatewayEvent};
+use crate::fleet_board::FleetBoard;
+use crate::fleet_service::{self, FleetClient};
+use crate::forward::Forwarder;
+use crate::io::Io;
+use crate::links::Links;
+use crate::placement::Placer;
+use crate::probe::Prober;
+use crate::{GatewaySettings, Platform};
+use axum::Router;
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{BeatId, HostStage, HostState, Membership, SteeringBoard};
+use heatherhinge_types::Digest;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use tokio::net::TcpListener;
+use tokio::sync::{oneshot, watch};
+
+/// What the host's own endpoints ask it.
+#[derive(Clone, Debug)]
+pub struct HostView {
+    board: Arc<SteeringBoard>,
+    seed: Arc<AtomicU64>,
+}
+
+impl HostView {
+    /// Returns whether the host takes callers.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.board.stage() == HostStage::Ready
+    }
+
+    /// Returns the addresses for a caller in a zone; empty while no host is known to be ready.
+    #[must_use]
+    pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
+        let seed = self.seed.fetch_add(1, Ordering::Relaxed);
+        let mut rng = Pcg64Mcg::seed_from_u64(seed);
+        heatherhinge_steering::addresses(&self.board.fleet.read().value, zone, &mut rng)
+    }
+}
+
+/// Starts entry hosts.
+#[derive(Debug)]
+pub struct Gateway;
+
+/// A running entry host.
+#[derive(Debug)]
+pub struct GatewayHandle {
+    events: EventSender,
+    exited: oneshot::Receiver<()>,
+}
+
+impl Gateway {
+    /// Binds the addresses and starts all parts of a host. `routers` makes the routers of the
+    /// readiness address and of the directory address.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system when an address cannot be bound.
+    pub async fn spawn<P, F>(
+        settings: GatewaySettings,
+        platform: P,
+        routers: F,
+    ) -> io::Result<GatewayHandle>
+    where
+        P: Platform,
+        F: FnOnce(HostView) -> (Router, Router),
+    {
+        let clock = Clock::start();
+        let started = clock.now();
+        let seed = (Digest::of(settings.host.as_bytes()).0 as u64) ^ started.wall_ms.0;
+        let callers = TcpListener::bind(settings.caller_addr).await?;
+        let readiness = TcpListener::bind(settings.readiness_addr).await?;
+        let directory = TcpListener::bind(settings.directory_addr).await?;
+        let peers = TcpListener::bind(settings.peer_addr).await?;
+
+        let platform = Arc::new(platform);
+        let (board, writers) = SteeringBoard::new(settings.host.clone(), settings.zone.clone());
+        let (events, receiver) = EventSender::new();
+        let own = HostState {
+            host: settings.host.clone(),
+            id: BeatId {
+                incarnation: started.wall_ms.0,
+                beat: 0,
+            },
+            caller_addr: settings.caller_addr,
+            peer_addr: settings.peer_addr,
+            zone: settings.zone.clone(),
+            stage: HostStage::Starting,
+            orders_version: 0,
+            moves: Vec::new(),
+            crashes: Vec::new(),
+        };
+        let mut membership = Membership::new(own, started.mono_ns);
+        for seed_addr in &settings.seeds {
+            if *seed_addr != settings.peer_addr {
+                membership.add_lead(*seed_addr);
+            }
+        }
+        let (fleet_board, fleet_writers) = FleetBoard::new(membership.clone(), events.clone());
+        let links = Arc::new(Links::default());
+        let forwarder = Arc::new(Forwarder {
+            board: Arc::clone(&board),
+            placer: Placer {
+                board: Arc::clone(&board),
+                prober: Arc::new(Prober {
+                    board: Arc::clone(&board),
+                    links: Arc::clone(&links),
+                    headers: platform.headers().clone(),
+                    clock,
+                }),
+                clock,
+            },
+            headers: platform.headers().clone(),
+            clock,
+            events: events.clone(),
+            seed,
+            sequence: AtomicU64::new(0),
+            is_closed: AtomicBool::new(false),
+        });
+        let (mode, mode_receiver) = watch::channel(ListenMode::Serve);
+        let open = Arc::new(OpenConnections::default());
+        let view = HostView {
+            board: Arc::clone(&board),
+            seed: Arc::new(AtomicU64::new(seed)),
+        };
+        let (readiness_router, directory_router) = routers(view);
+        tokio::spawn(serve_callers(
+            callers,
+            Arc::clone(&forwarder),
+            Arc::clone(&open),
+            mode_receiver,
+        ));
+        tokio::spawn(serve_router(readiness, readiness_router));
+        tokio::spawn(serve_router(directory, directory_router));
+        tokio::spawn(fleet_service::serve(peers, Arc::clone(&fleet_board), clock));
+
+        let io = Io {
+            platform,
+            fleet: Arc::new(FleetClient::default()),
+            board: Arc::clone(&board),
+            events: events.clone(),
+        };
+        let host = settings.host.clone();
+        let parts = ConductorParts {
+            settings,
+            board,
+            writers,
+            fleet_board,
+            fleet_writers,
+            io,
+            links,
+            forwarder,
+            clock,
+            incarnation: started.wall_ms.0,
+            seed,
+            mode,
+            open,
+        };
+        let (exit, exited) = oneshot::channel();
+        tokio::spawn(Conductor::new(parts, membership).run(receiver, exit));
+        tracing::info!(%host, "gateway: started");
+        Ok(GatewayHandle { events, exited })
+    }
+}
+
+impl GatewayHandle {
+    /// Begins a planned stop.
+    pub fn stop(&self) {
+        self.events.send(GatewayEvent::Stop);
+    }
+
+    /// Tells the host that its settings file has changed.
+    pub fn reload(&self) {
+        self.events.send(GatewayEvent::Reload);
+    }
+
+    /// Waits until a planned stop is complete.
+    pub async fn exited(&mut self) {
+        // An error means that the conductor has ended, which is what is waited for.
+        (&mut self.exited).await.ok();
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/links.rs
@@ -0,0 +1,89 @@
+//! Idle connections to targets, found without a lock.
+
+use crate::connection::Connection;
+use crossbeam_queue::ArrayQueue;
+use heatherhinge_steering::{Counts, Target};
+use heatherhinge_types::Name;
+use std::collections::{BTreeMap, BTreeSet};
+use std::io;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::time::Instant;
+
+/// Idle connections that are kept for each target.
+const MAX_IDLE: usize = 12;
+/// Time after which an idle connection is not used again. Targets close them some seconds later.
+const IDLE_LIMIT: Duration = Duration::from_secs(6);
+
+/// Idle connections of all targets.
+#[derive(Debug, Default)]
+pub(crate) struct Links {
+    table: arc_swap::ArcSwap<BTreeMap<Name, Arc<Link>>>,
+}
+
+/// Idle connections of one target.
+#[derive(Debug)]
+pub(crate) struct Link {
+    idle: ArrayQueue<Connection>,
+}
+
+impl Link {
+    fn new() -> Self {
+        Self {
+            idle: ArrayQueue::new(MAX_IDLE),
+        }
+    }
+
+    /// Takes an idle connection that is likely to be open still.
+    pub(crate) fn take(&self) -> Option<Connection> {
+        let now = Instant::now();
+        while let Some(connection) = self.idle.pop() {
+            if connection.is_open() && now.duration_since(connection.idle_since) < IDLE_LIMIT {
+                return Some(connection);
+            }
+        }
+        None
+    }
+
+    /// Keeps a connection whose last answer is complete.
+    pub(crate) fn put_back(&self, mut connection: Connection) {
+        if connection.is_open() {
+            connection.idle_since = Instant::now();
+            // A full queue closes the connection.
+            drop(self.idle.push(connection));
+        }
+    }
+}
+
+impl Links {
+    /// Returns the link of a target.
+    pub(crate) fn link(&self, target: &Target) -> Arc<Link> {
+        if let Some(link) = self.table.load().get(target.id()) {
+            return Arc::clone(link);
+        }
+        let made = Arc::new(Link::new());
+        self.table.rcu(|old| {
+            let mut new = BTreeMap::clone(old);
+            new.entry(target.id().clone())
+                .or_insert_with(|| Arc::clone(&made));
+            new
+        });
+        self.table.load().get(target.id()).map_or(made, Arc::clone)
+    }
+
+    /// Closes the idle connections of all targets but these.
+    pub(crate) fn retain(&self, ids: &BTreeSet<Name>) {
+        self.table.rcu(|old| {
+            let mut new = BTreeMap::clone(old);
+            new.retain(|id, _| ids.contains(id));
+            new
+        });
+    }
+
+    /// Opens a connection to a target.
+    pub(crate) async fn open(target: &Target, counts: &Counts) -> io::Result<Connection> {
+        counts.connects.fetch_add(1, Ordering::Relaxed);
+        Connection::open(target.entry.addr).await
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/placement.rs
@@ -0,0 +1,190 @@
+//! Finds the target for a request by asking a few for their load.
+
+use crate::call::Call;
+use crate::probe::{Probed, Prober};
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{
+    Cost, Fit, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost, fit, sample,
+};
+use heatherhinge_types::{Code, MonoNs, Name};
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use std::time::Duration;
+use tokio::time::{Instant, sleep, timeout_at};
+
+/// Targets asked in each round. Most requests are placed by the first one.
+const ROUNDS: [RoundSize; 3] = [
+    RoundSize { near: 3, far: 0 },
+    RoundSize { near: 2, far: 2 },
+    RoundSize { near: 4, far: 4 },
+];
+/// Longest time for a round that has had an answer. A target in another zone that needs a new
+/// connection takes about 7 ms.
+const ROUND_WAIT: Duration = Duration::from_millis(12);
+/// Longest time for a round without an answer.
+const SILENT_ROUND_WAIT: Duration = Duration::from_millis(60);
+/// Pause before a request is tried again that found no target.
+const RETRY_PAUSE: Duration = Duration::from_millis(10);
+/// Requests that may wait at a target, in percent of its slots, for the most urgent routes. Each
+/// step of priority halves it.
+const URGENT_WAITING_PERCENT: u32 = 200;
+
+/// A target for one attempt.
+#[derive(Debug)]
+pub(crate) struct Placed {
+    pub(crate) probed: Probed,
+    pub(crate) side: Side,
+}
+
+/// How choosy an attempt is.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Standard {
+    /// Takes the best target that can answer in time.
+    Best,
+    /// Takes a target only if it runs the request at once and at its usual speed.
+    GoodOnly,
+}
+
+/// Places requests.
+#[derive(Debug)]
+pub(crate) struct Placer {
+    pub(crate) board: Arc<SteeringBoard>,
+    pub(crate) prober: Arc<Prober>,
+    pub(crate) clock: Clock,
+}
+
+/// What the rounds have found so far.
+struct Search {
+    asked: Vec<Arc<Target>>,
+    found: Vec<Probed>,
+}
+
+impl Placer {
+    /// Finds a target that the request was not sent to before.
+    pub(crate) async fn place(
+        &self,
+        call: &Call,
+        tried: &[Name],
+        standard: Standard,
+        rng: &mut Pcg64Mcg,
+    ) -> Result<Placed, Code> {
+        let hold_until = call.hold_until();
+        loop {
+            let pool = self
+                .board
+                .targets
+                .read()
+                .value
+                .pools
+                .get(&call.service)
+                .map(Arc::clone);
+            let Some(pool) = pool else {
+                return Err(Code::NoTarget);
+            };
+            let mut side = match &pool.gauge {
+                Some(gauge) => gauge.choose_side(),
+                None => Side::Current,
+            };
+            if pool.group(side).is_empty() && side == Side::Current && pool.may_move_all() {
+                side = Side::Moving;
+            }
+            let group = pool.group(side);
+            if let Some(probed) = self.search(call, group, tried, standard, rng).await {
+                return Ok(Placed { probed, side });
+            }
+            if standard == Standard::GoodOnly || self.clock.mono_ns() >= hold_until {
+                return Err(if group.is_empty() {
+                    Code::NoTarget
+                } else {
+                    Code::QueueFull
+                });
+            }
+            sleep(RETRY_PAUSE).await;
+        }
+    }
+
+    async fn search(
+        &self,
+        call: &Call,
+        group: &TargetGroup,
+        tried: &[Name],
+        standard: Standard,
+        rng: &mut Pcg64Mcg,
+    ) -> Option<Probed> {
+        let is_tried = |target: &&Arc<Target>| tried.contains(target.id());
+        let asked = group.near.iter().chain(&group.far).filter(is_tried);
+        let mut search = Search {
+            asked: asked.cloned().collect(),
+            found: Vec::new(),
+        };
+        let rounds = match standard {
+            Standard::Best => &ROUNDS[..],
+            Standard::GoodOnly => &ROUNDS[..1],
+        };
+        for size in rounds {
+            let now = self.clock.mono_ns();
+            let targets = sample(group, &search.asked, *size, now, rng);
+            if targets.is_empty() {
+                break;
+            }
+            self.ask(&mut search, &targets).await;
+            if let Some(probed) = self.take_best(&mut search, Fit::Good) {
+                return Some(probed);
+            }
+        }
+        if standard == Standard::GoodOnly {
+            return None;
+        }
+        let limit = waiting_limit_percent(call.route.priority);
+        search
+            .found
+            .retain(|probed| probed.load.waiting * 100 < probed.load.slots * limit);
+        self.take_best(&mut search, Fit::Queues)
+    }
+
+    async fn ask(&self, search: &mut Search, targets: &[Arc<Target>]) {
+        let started = Instant::now();
+        let mut answers = self.prober.ask(targets);
+        search.asked.extend(targets.iter().cloned());
+        let mut until = started + SILENT_ROUND_WAIT;
+        while let Ok(Some(probed)) = timeout_at(until, answers.recv()).await {
+            search.found.push(probed);
+            until = started + ROUND_WAIT;
+        }
+    }
+
+    /// Takes the target with the lowest cost among those that fit at least this well, and the
+    /// token of a cold one.
+    fn take_best(&self, search: &mut Search, worst: Fit) -> Option<Probed> {
+        let now = self.clock.mono_ns();
+        loop {
+            let rank = |probed: &Probed| self.rank(probed, now);
+            let best = search
+                .found
+                .iter()
+                .enumerate()
+                .filter(|(_, probed)| rank(probed).0 <= worst)
+                .min_by_key(|(_, probed)| rank(probed))
+                .map(|(index, _)| index)?;
+            let probed = search.found.swap_remove(best);
+            let target = &probed.target;
+            if !target.cell.is_cold(now) {
+                return Some(probed);
+            }
+            let interval_ns = target.cold_interval_ns;
+            if target.is_fed_here && target.cell.take_cold_token(now, interval_ns, 1) {
+                return Some(probed);
+            }
+        }
+    }
+
+    fn rank(&self, probed: &Probed, now: MonoNs) -> (Fit, Cost) {
+        let trouble = probed.target.cell.trouble_percent(now);
+        (fit(&probed.load, trouble), cost(&probed.load, trouble))
+    }
+}
+
+/// Returns how many requests may wait at a target, in percent of its slots.
+fn waiting_limit_percent(priority: u32) -> u32 {
+    URGENT_WAITING_PERCENT >> priority.min(8)
+}
--- /dev/null
+++ b/crates/gateway/src/probe.rs
@@ -0,0 +1,167 @@
+//! Asks targets for their load just before a request is sent.
+
+use crate::WireHeaders;
+use crate::connection::{Connection, SendFault};
+use crate::links::{Link, Links};
+use bytes::Bytes;
+use heatherhinge_proxy::Clock;
+use heatherhinge_steering::{LoadFigure, SteeringBoard, Target, USUAL_SLOWNESS_PERCENT};
+use http::{HeaderMap, HeaderName, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use std::time::Duration;
+use tokio::sync::mpsc;
+use tokio::time::timeout;
+
+/// Longest time for the answer to a probe. Healthy targets answer within a few milliseconds.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+/// Largest body of a health answer in bytes.
+const HEALTH_BODY_BYTES: usize = 4 * 1024;
+/// Time for which a target that cannot be reached is left alone, in milliseconds.
+const UNREACHABLE_MS: u64 = 250;
+/// Time for which a target is left alone whose address belongs to another one, in milliseconds.
+const MISDIRECTED_MS: u64 = 5_000;
+/// Time for which a target is left alone that says it is not healthy, in milliseconds.
+const UNHEALTHY_MS: u64 = 400;
+
+/// A target that may take a request now, and the connection over which it said so.
+#[derive(Debug)]
+pub(crate) struct Probed {
+    pub(crate) target: Arc<Target>,
+    pub(crate) load: LoadFigure,
+    link: Arc<Link>,
+    connection: Option<Connection>,
+}
+
+impl Probed {
+    /// Takes the connection, which has just proved to be open.
+    pub(crate) fn take(&mut self) -> Option<(Connection, Arc<Link>)> {
+        let connection = self.connection.take()?;
+        Some((connection, Arc::clone(&self.link)))
+    }
+}
+
+impl Drop for Probed {
+    fn drop(&mut self) {
+        if let Some(connection) = self.connection.take() {
+            self.link.put_back(connection);
+        }
+    }
+}
+
+/// What a probe needs.
+#[derive(Debug)]
+pub(crate) struct Prober {
+    pub(crate) board: Arc<SteeringBoard>,
+    pub(crate) links: Arc<Links>,
+    pub(crate) headers: WireHeaders,
+    pub(crate) clock: Clock,
+}
+
+impl Prober {
+    /// Asks targets at the same time; answers arrive on the channel, which ends when all have
+    /// been asked. A probe that nobody waits for any more still returns its connection.
+    pub(crate) fn ask(self: &Arc<Self>, targets: &[Arc<Target>]) -> mpsc::Receiver<Probed> {
+        let (sender, receiver) = mpsc::channel(targets.len().max(1));
+        for target in targets {
+            let (prober, target) = (Arc::clone(self), Arc::clone(target));
+            let sender = sender.clone();
+            tokio::spawn(async move {
+                if let Some(probed) = prober.probe(target).await {
+                    // An error means that the request was placed already.
+                    sender.send(probed).await.ok();
+                }
+            });
+        }
+        receiver
+    }
+
+    async fn probe(&self, target: Arc<Target>) -> Option<Probed> {
+        self.board.counts.probes.fetch_add(1, Ordering::Relaxed);
+        let link = self.links.link(&target);
+        let answer = timeout(PROBE_TIMEOUT, self.exchange(&target, &link)).await;
+        let now = self.clock.mono_ns();
+        let Ok(Ok((connection, status, headers))) = answer else {
+            target.cell.avoid_until(now.plus_ms(UNREACHABLE_MS));
+            return None;
+        };
+        let load = self.read(&target, status, &headers)?;
+        Some(Probed {
+            target,
+            load,
+            link,
+            connection: Some(connection),
+        })
+    }
+
+    async fn exchange(
+        &self,
+        target: &Target,
+        link: &Link,
+    ) -> Result<(Connection, StatusCode, HeaderMap), SendFault> {
+        if let Some(mut connection) = link.take() {
+            // The target may have closed or forgotten an idle connection; a new one tells.
+            if let Ok((status, headers)) = health(&mut connection, target).await {
+                return Ok((connection, status, headers));
+            }
+        }
+        let mut connection = Links::open(target, &self.board.counts)
+            .await
+            .map_err(|_| SendFault::NeverSent)?;
+        let (status, headers) = health(&mut connection, target).await?;
+        Ok((connection, status, headers))
+    }
+
+    /// Reads a health answer and records what it shows of the target.
+    fn read(&self, target: &Target, status: StatusCode, headers: &HeaderMap) -> Option<LoadFigure> {
+        let now = self.clock.mono_ns();
+        let cell = &target.cell;
+        if text(headers, &self.headers.target_id) != Some(target.id().as_str()) {
+            cell.avoid_until(now.plus_ms(MISDIRECTED_MS));
+            return None;
+        }
+        let cold_ms = text(headers, &self.headers.cold_ms).and_then(|text| text.parse().ok());
+        if let Some(cold_ms) = cold_ms {
+            cell.set_cold(now, cold_ms);
+        }
+        if status != StatusCode::OK {
+            cell.avoid_until(now.plus_ms(UNHEALTHY_MS));
+            return None;
+        }
+        let stated = text(headers, &self.headers.load).and_then(|text| text.parse().ok());
+        cell.set_silent_on_load(stated.is_none());
+        Some(stated.unwrap_or_else(|| own_figure(target)))
+    }
+}
+
+/// Returns the load that this host causes, for targets that do not state theirs.
+fn own_figure(target: &Target) -> LoadFigure {
+    LoadFigure {
+        running: target.cell.in_flight(),
+        waiting: 0,
+        slots: target.entry.slots.max(1),
+        slowness_percent: USUAL_SLOWNESS_PERCENT,
+    }
+}
+
+async fn health(
+    connection: &mut Connection,
+    target: &Target,
+) -> Result<(StatusCode, HeaderMap), SendFault> {
+    let request = Request::get(target.health_path.as_str())
+        .header(header::HOST, target.entry.addr.to_string())
+        .body(Full::<Bytes>::default())
+        .map_err(|_| SendFault::NeverSent)?;
+    let (head, body) = connection.send(request).await?.into_parts();
+    Limited::new(body, HEALTH_BODY_BYTES)
+        .collect()
+        .await
+        .map_err(|_| SendFault::Broke)?;
+    Ok((head.status, head.headers))
+}
+
+/// Returns a header as text.
+pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
+    headers.get(name)?.to_str().ok()
+}
--- /dev/null
+++ b/crates/gateway/src/refusal.rs
@@ -0,0 +1,52 @@
+//! The answer that tells a caller of a refusal or failure of the host's own.
+
+use crate::AnswerBody;
+use heatherhinge_types::{Code, header};
+use http::header::{CONTENT_TYPE, RETRY_AFTER};
+use http::{HeaderName, HeaderValue, Response};
+
+/// Time after which a caller may come back when targets are full, in milliseconds.
+const RETRY_AFTER_FULL_MS: u64 = 150;
+/// Time after which a caller may come back when the host cannot serve yet, in milliseconds.
+const RETRY_AFTER_START_MS: u64 = 300;
+
+/// Makes the answer for a code.
+pub(crate) fn refusal(
+    code: Code,
+    request_id: &HeaderName,
+    id: Option<&HeaderValue>,
+) -> Response<AnswerBody> {
+    let body = format!(
+        "{{\"code\":{},\"ran\":\"{}\",\"message\":\"{}\"}}",
+        code.number(),
+        code.ran().as_str(),
+        code.text()
+    );
+    let mut response = Response::new(AnswerBody::full(body));
+    *response.status_mut() = code.status();
+    let headers = response.headers_mut();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
+    headers.insert(header::CODE, HeaderValue::from(code.number()));
+    headers.insert(header::RAN, HeaderValue::from_static(code.ran().as_str()));
+    if let Some(id) = id {
+        headers.insert(request_id.clone(), id.clone());
+    }
+    if let Some(after_ms) = retry_after_ms(code) {
+        let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
+        if let Ok(value) = HeaderValue::from_str(&seconds) {
+            headers.insert(RETRY_AFTER, value);
+        }
+    }
+    response
+}
+
+/// Returns when a caller may come back, for codes that promise that the request has not run.
+const fn retry_after_ms(code: Code) -> Option<u64> {
+    match code {
+        Code::QueueFull | Code::TargetShed | Code::DeadlineTooShort => Some(RETRY_AFTER_FULL_MS),
+        Code::NoTarget | Code::NoBundle | Code::Leaving | Code::HeldBack => {
+            Some(RETRY_AFTER_START_MS)
+        }
+        _ => None,
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/settings.rs
@@ -0,0 +1,28 @@
+//! What a host is told at its start.
+
+use heatherhinge_steering::BudgetLimits;
+use heatherhinge_types::Name;
+use std::net::SocketAddr;
+
+/// Settings of an entry host on a platform.
+#[derive(Clone, Debug)]
+pub struct GatewaySettings {
+    /// Name of the host.
+    pub host: Name,
+    /// Availability zone.
+    pub zone: Name,
+    /// Address for callers.
+    pub caller_addr: SocketAddr,
+    /// Address for readiness checks.
+    pub readiness_addr: SocketAddr,
+    /// Address for callers that ask which addresses to use.
+    pub directory_addr: SocketAddr,
+    /// Address for other hosts.
+    pub peer_addr: SocketAddr,
+    /// Addresses of some other hosts; they may be out of date.
+    pub seeds: Vec<SocketAddr>,
+    /// Budget for sending requests once more.
+    pub budget: BudgetLimits,
+    /// Time between the signal to stop and the kill, in milliseconds.
+    pub grace_ms: u64,
+}
--- /dev/null
+++ b/crates/gateway/src/story.rs
@@ -0,0 +1,92 @@
+//! The log line that explains a request.
+
+use crate::AnswerBody;
+use crate::attempt::Attempted;
+use crate::call::Call;
+use heatherhinge_steering::SteeringBoard;
+use heatherhinge_types::{Code, MonoNs};
+use http::Response;
+use std::fmt::Write;
+
+/// Collects what happened to a request and logs it when it ends.
+///
+/// A request that went as usual is logged at debug level only; one that was repeated, refused or
+/// failed is logged at info level, so that its id leads to the cause.
+pub(crate) struct Story<'a> {
+    call: &'a Call,
+    targets_version: u64,
+    attempts: u32,
+    steps: String,
+}
+
+impl<'a> Story<'a> {
+    pub(crate) fn new(call: &'a Call, board: &SteeringBoard) -> Self {
+        Self {
+            call,
+            targets_version: board.targets.read().value.stored_version,
+            attempts: 0,
+            steps: String::new(),
+        }
+    }
+
+    pub(crate) fn second_send(&mut self) {
+        self.steps.push_str("late, second target; ");
+    }
+
+    pub(crate) fn attempted(&mut self, attempted: &Attempted) {
+        self.attempts += 1;
+        let target = attempted.target_id().map_or("none", |id| id.as_str());
+        let load = attempted.load.map(|load| {
+            (
+                load.running,
+                load.waiting,
+                load.slots,
+                load.slowness_percent,
+            )
+        });
+        // Writing to a string cannot fail.
+        write!(
+            self.steps,
+            "{target} load {load:?} took {} us: {}; ",
+            attempted.took_us, attempted.cause
+        )
+        .ok();
+    }
+
+    pub(crate) fn finish(self, result: &Result<Response<AnswerBody>, Code>, now: MonoNs) {
+        let call = self.call;
+        let took_ms = now.ms_since(call.arrived);
+        let status = match result {
+            Ok(response) => response.status().as_u16(),
+            Err(code) => code.status().as_u16(),
+        };
+        let code = result.as_ref().err().map_or(0, |code| code.number());
+        if code == 0 && self.attempts == 1 && status < 500 {
+            tracing::debug!(
+                request_id = call.id_text(),
+                route = %call.route.name,
+                service = %call.service,
+                status,
+                took_ms,
+                steps = self.steps,
+                "gateway: answered"
+            );
+            return;
+        }
+        tracing::info!(
+            request_id = call.id_text(),
+            route = %call.route.name,
+            service = %call.service,
+            status,
+            code,
+            took_ms,
+            allowed_ms = call.give_up.ms_since(call.arrived),
+            deadline_ms = call.deadline.ms_since(call.arrived),
+            attempts = self.attempts,
+            routes_version = call.routes_version,
+            targets_version = self.targets_version,
+            steps = self.steps,
+            "gateway: answered after trouble"
+        );
+    }
+}
--- /dev/null
+++ b/crates/steering/src/move_gauge.rs
@@ -0,0 +1,219 @@
+//! The two sides of a version move on the path of a request.
+
+use crate::{MoveStage, MoveState, RouteTally, Side, Tally};
+use heatherhinge_orders::MoveOrder;
+use heatherhinge_types::Name;
+use std::collections::BTreeMap;
+use std::sync::atomic::{AtomicU8, AtomicU32, AtomicU64, Ordering};
+
+/// Share of the service's requests that an unproven version gets at first, in thousandths.
+const CANARY_MILLI: u64 = 40;
+/// Share of all requests since the order that an unproven version may have had, in thousandths.
+/// The users allow a tenth; the rest covers hosts that restart and count anew.
+const EXPOSURE_MILLI: u64 = 80;
+/// Share of the requests that go to the new version while the canary's savings are spent.
+const RAMP_MILLI: u64 = 350;
+
+/// Counts of one side on one route.
+#[derive(Debug, Default)]
+struct SideCounts {
+    answers: AtomicU32,
+    bad: AtomicU32,
+    slow: AtomicU32,
+    /// Smoothed time of good answers in microseconds.
+    usual_us: AtomicU64,
+}
+
+impl SideCounts {
+    fn tally(&self) -> Tally {
+        Tally {
+            answers: self.answers.load(Ordering::Relaxed),
+            bad: self.bad.load(Ordering::Relaxed),
+            slow: self.slow.load(Ordering::Relaxed),
+        }
+    }
+}
+
+#[derive(Debug, Default)]
+struct RouteCounts {
+    current: SideCounts,
+    moving: SideCounts,
+}
+
+impl RouteCounts {
+    const fn side(&self, side: Side) -> &SideCounts {
+        match side {
+            Side::Current => &self.current,
+            Side::Moving => &self.moving,
+        }
+    }
+}
+
+/// A move under way: which side the next request goes to, and how both sides answer.
+#[derive(Debug)]
+pub struct MoveGauge {
+    /// The order.
+    pub order: MoveOrder,
+    /// Version of the store at which the order was written, which names the move.
+    pub order_version: u64,
+    stage: AtomicU8,
+    total: AtomicU64,
+    moved: AtomicU64,
+    current_in_flight: AtomicU32,
+    routes: BTreeMap<Name, RouteCounts>,
+    other: RouteCounts,
+}
+
+/// How an answer counts for the move.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum MoveSample {
+    /// A good answer after this many microseconds at an undisturbed target.
+    Good(u64),
+    /// A failure.
+    Bad,
+}
+
+/// Good answers before the usual time of a side is taken as known.
+const USUAL_MIN_ANSWERS: u32 = 8;
+/// An answer counts as slow from this multiple of the current version's usual time.
+const SLOW_FACTOR: u64 = 3;
+
+impl MoveGauge {
+    /// Starts a move with counts for these routes.
+    #[must_use]
+    pub fn new(order: MoveOrder, order_version: u64, routes: &[Name]) -> Self {
+        Self {
+            order,
+            order_version,
+            stage: AtomicU8::new(MoveStage::Canary.code()),
+            total: AtomicU64::new(0),
+            moved: AtomicU64::new(0),
+            current_in_flight: AtomicU32::new(0),
+            routes: routes
+                .iter()
+                .map(|name| (name.clone(), RouteCounts::default()))
+                .collect(),
+            other: RouteCounts::default(),
+        }
+    }
+
+    /// Returns the stage of the move.
+    #[must_use]
+    pub fn stage(&self) -> MoveStage {
+        MoveStage::from_code(self.stage.load(Ordering::Acquire))
+    }
+
+    /// Sets the stage of the move.
+    pub fn set_stage(&self, stage: MoveStage) {
+        self.stage.store(stage.code(), Ordering::Release);
+    }
+
+    /// Returns the side that the next request goes to and counts it there.
+    pub fn choose_side(&self) -> Side {
+        let total = self.total.fetch_add(1, Ordering::Relaxed) + 1;
+        match self.stage() {
+            MoveStage::RolledBack => Side::Current,
+            MoveStage::Shift | MoveStage::Completed => {
+                self.moved.fetch_add(1, Ordering::Relaxed);
+                Side::Moving
+            }
+            MoveStage::Canary => self.take_exposure(total, CANARY_MILLI),
+            MoveStage::Ramp if total % 1_000 % 20 * 50 < RAMP_MILLI => {
+                self.take_exposure(total, EXPOSURE_MILLI)
+            }
+            MoveStage::Ramp => Side::Current,
+        }
+    }
+
+    fn take_exposure(&self, total: u64, share_milli: u64) -> Side {
+        let cap = total * share_milli / 1_000 + 1;
+        let taken = self
+            .moved
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |moved| {
+                (moved < cap).then_some(moved + 1)
+            });
+        if taken.is_ok() {
+            Side::Moving
+        } else {
+            Side::Current
+        }
+    }
+
+    /// Counts a request as sent to a side.
+    pub fn begin(&self, side: Side) {
+        if side == Side::Current {
+            self.current_in_flight.fetch_add(1, Ordering::AcqRel);
+        }
+    }
+
+    /// Counts a request as ended at a side.
+    pub fn end(&self, side: Side) {
+        if side == Side::Current {
+            self.current_in_flight.fetch_sub(1, Ordering::AcqRel);
+        }
+    }
+
+    /// Counts an answer of a side.
+    pub fn count(&self, route: &Name, side: Side, sample: MoveSample) {
+        let route = self.routes.get(route).unwrap_or(&self.other);
+        let counts = route.side(side);
+        counts.answers.fetch_add(1, Ordering::Relaxed);
+        match sample {
+            MoveSample::Bad => {
+                counts.bad.fetch_add(1, Ordering::Relaxed);
+            }
+            MoveSample::Good(took_us) => {
+                if is_slow(&route.current, took_us) {
+                    counts.slow.fetch_add(1, Ordering::Relaxed);
+                } else {
+                    smooth(&counts.usual_us, took_us);
+                }
+            }
+        }
+    }
+
+    /// Makes the state that other hosts are told.
+    #[must_use]
+    pub fn state(&self, elapsed_ms: u64) -> MoveState {
+        let tally = |(name, counts): (&Name, &RouteCounts)| RouteTally {
+            route: name.clone(),
+            current: counts.current.tally(),
+            moving: counts.moving.tally(),
+        };
+        let mut routes: Vec<RouteTally> = self
+            .routes
+            .iter()
+            .map(tally)
+            .filter(|route| route.current.answers + route.moving.answers > 0)
+            .collect();
+        let other = tally((&Name::new(""), &self.other));
+        if other.current.answers + other.moving.answers > 0 {
+            routes.push(other);
+        }
+        MoveState {
+            service: self.order.service.clone(),
+            order_version: self.order_version,
+            stage: self.stage(),
+            elapsed_ms,
+            is_reported: false,
+            current_in_flight: self.current_in_flight.load(Ordering::Acquire),
+            routes,
+        }
+    }
+}
+
+fn is_slow(current: &SideCounts, took_us: u64) -> bool {
+    let is_known = current.answers.load(Ordering::Relaxed) >= USUAL_MIN_ANSWERS;
+    let usual_us = current.usual_us.load(Ordering::Relaxed);
+    is_known && usual_us > 0 && took_us > usual_us * SLOW_FACTOR
+}
+
+fn smooth(cell: &AtomicU64, sample: u64) {
+    let old = cell.load(Ordering::Relaxed);
+    let new = if old == 0 {
+        sample
+    } else {
+        (old * 7 + sample) / 8
+    };
+    cell.store(new.max(1), Ordering::Relaxed);
+}
--- /dev/null
+++ b/crates/steering/src/rank.rs
@@ -0,0 +1,61 @@
+//! Ranks targets by figures that are fresh at the moment of sending.
+
+use crate::{LoadFigure, USUAL_SLOWNESS_PERCENT};
+
+/// Share of the slots, in percent, from which some targets slow down.
+const KNEE_PERCENT: u32 = 80;
+/// Slow-down beyond the knee, in percent.
+const KNEE_SLOWNESS_PERCENT: u64 = 170;
+/// Slowness, in percent, up to which a target counts as undisturbed.
+const UNDISTURBED_PERCENT: u32 = 150;
+
+/// Expected time of a request at a target, relative to an idle and undisturbed one (100).
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Cost(pub u64);
+
+/// How well a target suits a request at the moment.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Fit {
+    /// Runs the request at once and at its usual speed.
+    Good,
+    /// Runs the request at once, but slowly.
+    Slow,
+    /// Lets the request wait for a slot.
+    Queues,
+}
+
+/// Returns the expected relative time of one more request; `trouble_percent` is what the target's
+/// recent failures add.
+#[must_use]
+pub fn cost(load: &LoadFigure, trouble_percent: u32) -> Cost {
+    let slots = u64::from(load.slots.max(1));
+    let after = u64::from(load.running) + u64::from(load.waiting) + 1;
+    let mut cost = u64::from(load.slowness_percent + trouble_percent);
+    if after * 100 > slots * u64::from(KNEE_PERCENT) {
+        cost = cost * KNEE_SLOWNESS_PERCENT / 100;
+    }
+    if after > slots {
+        // Each full set of waiting requests costs about one more service time.
+        cost += cost * (after - slots).div_ceil(slots);
+    }
+    Cost(cost)
+}
+
+/// Returns how well a target suits one more request; `trouble_percent` is what its recent
+/// failures add to its cost.
+#[must_use]
+pub const fn fit(load: &LoadFigure, trouble_percent: u32) -> Fit {
+    if load.running >= load.slots || load.waiting > 0 {
+        Fit::Queues
+    } else if load.slowness_percent + trouble_percent > UNDISTURBED_PERCENT {
+        Fit::Slow
+    } else {
+        Fit::Good
+    }
+}
+
+/// Returns the cost of a request at an idle target that works at its usual speed.
+#[must_use]
+pub const fn usual_cost() -> Cost {
+    Cost(USUAL_SLOWNESS_PERCENT as u64)
+}
--- /dev/null
+++ b/crates/steering/src/target_table.rs
@@ -0,0 +1,68 @@
+//! The routing snapshot: which targets may get requests.
+
+use crate::{MoveGauge, MoveStage, Side, Target};
+use heatherhinge_types::Name;
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+/// Targets of one version of a service.
+#[derive(Clone, Debug, Default)]
+pub struct TargetGroup {
+    /// Targets in the zone of this host.
+    pub near: Vec<Arc<Target>>,
+    /// Targets in other zones.
+    pub far: Vec<Arc<Target>>,
+}
+
+impl TargetGroup {
+    /// Returns the number of targets.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.near.len() + self.far.len()
+    }
+
+    /// Returns whether there is no target.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
+
+/// Targets of a service.
+#[derive(Clone, Debug, Default)]
+pub struct ServicePool {
+    /// Targets that take requests when no move is under way, or the old version of a move.
+    pub current: TargetGroup,
+    /// Targets of the version that a move goes to.
+    pub moving: TargetGroup,
+    /// The move under way, if there is one.
+    pub gauge: Option<Arc<MoveGauge>>,
+}
+
+impl ServicePool {
+    /// Returns whether requests may go to the new version when the current one has no targets.
+    #[must_use]
+    pub fn may_move_all(&self) -> bool {
+        self.gauge
+            .as_ref()
+            .is_some_and(|gauge| gauge.stage() != MoveStage::RolledBack)
+    }
+
+    /// Returns the targets of a side. Without a move there is one side only.
+    #[must_use]
+    pub const fn group(&self, side: Side) -> &TargetGroup {
+        match side {
+            Side::Current => &self.current,
+            Side::Moving => &self.moving,
+        }
+    }
+}
+
+/// All targets that may get requests, by service.
+#[derive(Clone, Debug, Default)]
+pub struct TargetTable {
+    /// Version of the stored table that this one was made from.
+    pub stored_version: u64,
+    /// Pools by service.
+    pub pools: BTreeMap<Name, Arc<ServicePool>>,
+}
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -96,6 +96,7 @@
     DeadlinePassed = 1305, GATEWAY_TIMEOUT, Unknown, "The deadline passed while a target had the request.";
     BadAnswer = 1306, BAD_GATEWAY, Unknown, "The target's answer is malformed.";
     Quarantined = 1409, CONFLICT, Unknown, "Requests like this one crashed several targets and are held back.";
+    HeldBack = 1410, SERVICE_UNAVAILABLE, No, "Requests like this one crash targets; this one was not sent.";
     NotFresh = 1502, SERVICE_UNAVAILABLE, No, "This host cannot tell whether its bundle is the newest.";
     NoBundle = 1503, SERVICE_UNAVAILABLE, No, "This host has no bundle yet.";
     Leaving = 1504, SERVICE_UNAVAILABLE, No, "This host is leaving.";
