Share the probe budget by request rates and keep within max_attempts

A request whose first attempt failed was sent once more, and the timer for a second send then started a third attempt.

Each request of a caller now brings as many probes as the fleet's budget has for each of its requests; hosts tell each other their request rates. Rounds shrink while savings are short. The timer counts attempts under way.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -11,9 +11,9 @@
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable, WriteOutcome};
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    BeatId, CrashWatch, DrainNext, HostStage, HostState, Membership, MoveControl, MoveEffect,
-    MoveReport, Replica, ReportedState, RetryBudget, RouteStat, SteeringBoard, SteeringWriters,
-    TableUpdate, TargetControl, TargetInputs, drain_next, place,
+    BeatId, CrashWatch, DrainNext, FleetView, HostStage, HostState, Membership, MoveControl,
+    MoveEffect, MoveReport, Replica, ReportedState, RetryBudget, RouteStat, SteeringBoard,
+    SteeringWriters, TableUpdate, TargetControl, TargetInputs, drain_next, place,
 };
 use heatherhinge_types::{MonoNs, Name};
 use rand::SeedableRng;
@@ -29,6 +29,8 @@
 const TICK: Duration = Duration::from_millis(150);
 /// Steps between exchanges with other hosts.
 const TICKS_PER_SYNC: u64 = 2;
+/// Time between exchanges with other hosts, in milliseconds.
+const SYNC_INTERVAL_MS: u64 = 300;
 /// Hosts that are asked in each exchange.
 const SYNC_PARTNERS: usize = 2;
 /// Age at which a host that has the duty reads the registrations again, in milliseconds.
@@ -87,6 +89,8 @@
     next_register: MonoNs,
     is_registered: bool,
     is_store_lost: bool,
+    requests_per_s: u32,
+    requests_before: u64,
     stop_since: Option<MonoNs>,
 }
 
@@ -111,6 +115,8 @@
             next_register: started,
             is_registered: false,
             is_store_lost: false,
+            requests_per_s: 0,
+            requests_before: 0,
             stop_since: None,
             parts,
         }
@@ -373,6 +379,7 @@
             peer_addr: settings.peer_addr,
             zone: settings.zone.clone(),
             stage: self.parts.board.stage(),
+            requests_per_s: self.requests_per_s,
             orders_version: self.orders.version(),
             moves: self.moves.states(now),
             crashes: self.crashes.tallies(),
@@ -413,12 +420,13 @@
 
     fn sync(&mut self, now: MonoNs) {
         self.beat += 1;
+        self.count_requests();
         let own = self.own_state(now);
         self.membership.set_own(own.clone(), now);
         self.membership.forget_silent(now);
         let fleet = self.membership.view(now);
         let before = self.parts.board.fleet.read_owned();
-        let hosts = |view: &heatherhinge_steering::FleetView| -> Vec<(Name, HostStage)> {
+        let hosts = |view: &FleetView| -> Vec<(Name, HostStage)> {
             let of = |host: &HostState| (host.host.clone(), host.stage);
             view.live.iter().map(of).collect()
         };
@@ -431,6 +439,7 @@
                 "fleet: the live hosts have changed"
             );
         }
+        self.share_probes(&fleet);
         self.parts.writers.fleet.publish(fleet);
         self.parts
             .fleet_writers
@@ -447,6 +456,30 @@
         }
     }
 
+    /// Measures the requests a second since the last exchange, smoothed over about two seconds.
+    fn count_requests(&mut self) {
+        let total = self.parts.board.counts.requests.load(Ordering::Relaxed);
+        let new = total.saturating_sub(self.requests_before);
+        self.requests_before = total;
+        let rate = new * 1_000 / SYNC_INTERVAL_MS;
+        let smoothed = (u64::from(self.requests_per_s) * 7 + rate).div_ceil(8);
+        self.requests_per_s = u32::try_from(smoothed).unwrap_or(u32::MAX);
+    }
+
+    fn share_probes(&self, fleet: &FleetView) {
+        let live: u64 = fleet
+            .live
+            .iter()
+            .map(|host| u64::from(host.requests_per_s))
+            .sum();
+        let targets = u64::try_from(self.target_control.len()).unwrap_or(u64::MAX);
+        let per_target_s = self.parts.settings.probes_per_s;
+        self.parts
+            .board
+            .probes
+            .set_rates(per_target_s, targets, live);
+    }
+
     fn step_moves(&mut self, now: MonoNs) {
         let fleet = self.parts.board.fleet.read_owned();
         let effects = self
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -163,6 +163,7 @@
         if self.board.held_back.read().value.contains(&call.digest) {
             return Err(Code::HeldBack);
         }
+        self.board.probes.begin_request();
         if let Some(budget) = self.board.budgets.read().value.get(&call.service) {
             budget.count_request(now);
         }
@@ -187,7 +188,9 @@
                 Some(attempted) = attempts.next() => attempted,
                 () = &mut second_send, if may_second_send => {
                     may_second_send = false;
-                    if is_sent.load(Ordering::Acquire) && self.take_repeat(call) {
+                    let started = progress.started(attempts.len());
+                    let may_send = started < call.route.max_attempts;
+                    if may_send && is_sent.load(Ordering::Acquire) && self.take_repeat(call) {
                         story.second_send();
                         let tried = progress.tried.clone();
                         attempts.push(self.attempt(call, tried, Standard::GoodOnly, &is_sent));
@@ -411,6 +414,11 @@
 }
 
 impl Progress {
+    /// Returns the attempts that have reached a target or may still do so.
+    fn started(&self, pending: usize) -> u32 {
+        self.sends + u32::try_from(pending).unwrap_or(u32::MAX)
+    }
+
     fn next(&mut self, call: &Call, attempted: Attempted, pending: usize) -> Decision {
         match attempted.end {
             AttemptEnd::Unplaced | AttemptEnd::NeverSent => self.misses += 1,
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -95,6 +95,7 @@
             peer_addr: settings.peer_addr,
             zone: settings.zone.clone(),
             stage: HostStage::Starting,
+            requests_per_s: 0,
             orders_version: 0,
             moves: Vec::new(),
             crashes: Vec::new(),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::probe::{Probed, Prober};
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    Cost, Fit, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost, fit, sample,
+    Cost, Fit, ProbeSupply, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost, fit, sample,
 };
 use heatherhinge_types::{Code, MonoNs, Name};
 use rand_pcg::Pcg64Mcg;
@@ -12,19 +12,36 @@
 use std::time::Duration;
 use tokio::time::{Instant, sleep, timeout_at};
 
-/// Targets asked in each round. Most requests are placed by the first one.
-const ROUNDS: [RoundSize; 3] = [
+/// Targets asked in each round while probes are ample. Most requests are placed by the first one.
+const AMPLE_ROUNDS: &[RoundSize] = &[
     RoundSize { near: 3, far: 0 },
     RoundSize { near: 2, far: 2 },
     RoundSize { near: 4, far: 4 },
 ];
+/// Targets asked in each round while probes are short.
+const SHORT_ROUNDS: &[RoundSize] = &[
+    RoundSize { near: 2, far: 0 },
+    RoundSize { near: 1, far: 1 },
+    RoundSize { near: 2, far: 2 },
+];
+/// Targets asked while probes are scarce.
+const SCARCE_ROUNDS: &[RoundSize] = &[RoundSize { near: 1, far: 0 }, RoundSize { near: 1, far: 0 }];
+
+const fn rounds(supply: ProbeSupply, standard: Standard) -> &'static [RoundSize] {
+    match (standard, supply) {
+        (Standard::GoodOnly, _) => SCARCE_ROUNDS,
+        (Standard::Best, ProbeSupply::Ample) => AMPLE_ROUNDS,
+        (Standard::Best, ProbeSupply::Short) => SHORT_ROUNDS,
+        (Standard::Best, ProbeSupply::Scarce) => SCARCE_ROUNDS,
+    }
+}
 /// Longest time for a round that has had an answer. A target in another zone that needs a new
 /// connection takes about 7 ms.
 const ROUND_WAIT: Duration = Duration::from_millis(12);
 /// Longest time for a round without an answer.
 const SILENT_ROUND_WAIT: Duration = Duration::from_millis(60);
 /// Pause before a request is tried again that found no target.
-const RETRY_PAUSE: Duration = Duration::from_millis(10);
+const RETRY_PAUSE: Duration = Duration::from_millis(15);
 /// Requests that may wait at a target, in percent of its slots, for the most urgent routes. Each
 /// step of priority halves it.
 const URGENT_WAITING_PERCENT: u32 = 200;
@@ -117,11 +134,7 @@
             asked: asked.cloned().collect(),
             found: Vec::new(),
         };
-        let rounds = match standard {
-            Standard::Best => &ROUNDS[..],
-            Standard::GoodOnly => &ROUNDS[..1],
-        };
-        for size in rounds {
+        for size in rounds(self.board.probes.supply(), standard) {
             let now = self.clock.mono_ns();
             let targets = sample(group, &search.asked, *size, now, rng);
             if targets.is_empty() {
@@ -143,6 +156,7 @@
     }
 
     async fn ask(&self, search: &mut Search, targets: &[Arc<Target>]) {
+        self.board.probes.spend(targets.len());
         let started = Instant::now();
         let mut answers = self.prober.ask(targets);
         search.asked.extend(targets.iter().cloned());
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub seeds: Vec<SocketAddr>,
     /// Budget for sending requests once more.
     pub budget: BudgetLimits,
+    /// Load probes that one target may get each second from all hosts together.
+    pub probes_per_s: u64,
     /// Time between the signal to stop and the kill, in milliseconds.
     pub grace_ms: u64,
 }
--- a/crates/steering/src/board.rs
+++ b/crates/steering/src/board.rs
@@ -1,6 +1,6 @@
 //! The blackboard of an entry host on a platform.
 
-use crate::{FleetView, HostStage, RetryBudget, RouteStat, TargetTable};
+use crate::{FleetView, HostStage, ProbeBudget, RetryBudget, RouteStat, TargetTable};
 use heatherhinge_blackboard::{Reader, Writer, entry};
 use heatherhinge_orders::RouteTable;
 use heatherhinge_types::Name;
@@ -52,6 +52,8 @@
     pub budgets: Reader<BTreeMap<Name, Arc<RetryBudget>>>,
     /// What is remembered of routes, by name.
     pub route_stats: Reader<BTreeMap<Name, Arc<RouteStat>>>,
+    /// Load probes that may be spent.
+    pub probes: ProbeBudget,
     /// Counts.
     pub counts: Counts,
     stage: AtomicU8,
@@ -93,6 +95,7 @@
             held_back,
             budgets,
             route_stats,
+            probes: ProbeBudget::default(),
             counts: Counts::default(),
             stage: AtomicU8::new(HostStage::Starting as u8),
         });
--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -49,6 +49,8 @@
     pub zone: Name,
     /// Whether it takes callers.
     pub stage: HostStage,
+    /// Requests of callers in the last second.
+    pub requests_per_s: u32,
     /// Version of the store up to which it knows the orders.
     pub orders_version: u64,
     /// Moves that it takes part in.
