Read the store from a few hosts and shorten the exchange between hosts

Each host watched the orders itself, followers fell back on their own reads, exchanges carried every heartbeat of every target and the whole state of each host.

A few large hosts now read both tables; the others pull from one of them in each exchange and tell each other of new orders at once. Registrations that say the same keep their version, so they are not sent on. Known states are named by 32 bits, and unchanged ones are told as beats.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -8,17 +8,19 @@
 use crate::intake::OrderBook;
 use crate::io::Io;
 use crate::links::Links;
+use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable, WriteOutcome};
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
     BeatId, CrashWatch, DrainNext, FleetView, HostStage, HostState, Membership, MoveControl,
-    MoveEffect, MoveReport, Replica, ReportedState, RetryBudget, RouteStat, SteeringBoard,
-    SteeringWriters, TableUpdate, TargetControl, TargetInputs, drain_next, place,
+    MoveEffect, MoveReport, MoveState, Replica, ReportedState, RetryBudget, RouteStat,
+    SteeringBoard, SteeringWriters, TableUpdate, TargetControl, TargetInputs, drain_next,
 };
 use heatherhinge_types::{MonoNs, Name};
-use rand::SeedableRng;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
@@ -31,26 +33,21 @@
 const TICKS_PER_SYNC: u64 = 2;
 /// Time between exchanges with other hosts, in milliseconds.
 const SYNC_INTERVAL_MS: u64 = 300;
-/// Hosts that are asked in each exchange.
-const SYNC_PARTNERS: usize = 2;
-/// Age at which a host that has the duty reads the registrations again, in milliseconds.
-const READER_AGE_MS: u64 = 650;
-/// Age at which any other host reads the registrations itself, in milliseconds. A target that
-/// leaves gets no more requests 2 s after the store has it.
-const FOLLOWER_AGE_MS: u64 = 1_350;
-/// Hosts for each reader of the registrations.
-const HOSTS_PER_READER: usize = 16;
-/// Fewest readers of the registrations, so that the death of one goes unnoticed.
-const MIN_READERS: usize = 2;
-/// Pause between reads of the registered hosts while no other host is heard, in milliseconds.
-const HOSTS_PAUSE_MS: u64 = 3_000;
-/// Pause between attempts to register this host, in milliseconds.
-const REGISTER_PAUSE_MS: u64 = 1_000;
+/// Hosts that are told at once of new orders. Each of them tells as many others.
+const TOLD_OF_ORDERS: usize = 4;
+/// Time after its start for which a host learns from others before it asks the store, in
+/// milliseconds. A fleet that starts at once would else make four calls for each host.
+const LEARN_MS: u64 = 1_000;
+/// Longest further time, drawn at random, in milliseconds.
+const LEARN_SPREAD_MS: u64 = 1_000;
 /// Time for which a host waits for registrations before it takes callers without, in
 /// milliseconds.
-const START_WAIT_MS: u64 = 2_000;
-/// Pause after a failed read of the registrations, in milliseconds.
-const READ_PAUSE_MS: u64 = 250;
+const START_WAIT_MS: u64 = 2_500;
+/// Beats after which a change of the counts of a move is told, so that they are told at most
+/// about every 600 ms.
+const BEATS_PER_TALLY: u32 = 2;
+/// Change of the request rate that is told, in percent.
+const RATE_CHANGE_PERCENT: u32 = 25;
 
 /// What the conductor is made of.
 pub(crate) struct ConductorParts<P> {
@@ -81,14 +78,10 @@
     crashes: CrashWatch,
     rng: Pcg64Mcg,
     started: MonoNs,
-    beat: u64,
+    beat: u32,
     ticks: u64,
-    is_reading: bool,
-    next_read: MonoNs,
-    next_hosts_read: MonoNs,
-    next_register: MonoNs,
-    is_registered: bool,
-    is_store_lost: bool,
+    told: Option<HostState>,
+    store_duty: StoreDuty,
     requests_per_s: u32,
     requests_before: u64,
     stop_since: Option<MonoNs>,
@@ -97,6 +90,15 @@
 impl<P: Platform> Conductor<P> {
     pub(crate) fn new(parts: ConductorParts<P>, membership: Membership) -> Self {
         let started = parts.clock.mono_ns();
+        let mut rng = Pcg64Mcg::seed_from_u64(parts.seed);
+        let settings = &parts.settings;
+        let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.peer_addr);
+        let learn_ms = if is_seed {
+            0
+        } else {
+            LEARN_MS + rng.random_range(0..LEARN_SPREAD_MS)
+        };
+        let store_duty = StoreDuty::new(started, learn_ms, settings.leave_ms);
         Self {
             membership,
             orders: Replica::default(),
@@ -105,16 +107,12 @@
             target_control: TargetControl::default(),
             moves: MoveControl::default(),
             crashes: CrashWatch::default(),
-            rng: Pcg64Mcg::seed_from_u64(parts.seed),
+            rng,
             started,
             beat: 0,
             ticks: 0,
-            is_reading: false,
-            next_read: started,
-            next_hosts_read: started,
-            next_register: started,
-            is_registered: false,
-            is_store_lost: false,
+            told: None,
+            store_duty,
             requests_per_s: 0,
             requests_before: 0,
             stop_since: None,
@@ -128,7 +126,6 @@
         mut events: mpsc::Receiver<GatewayEvent>,
         exit: oneshot::Sender<()>,
     ) {
-        self.parts.io.watch_orders();
         let mut tick = tokio::time::interval(TICK);
         tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
         loop {
@@ -153,7 +150,16 @@
         match event {
             GatewayEvent::Stored { table, result } => self.stored(table, result),
             GatewayEvent::Synced(answer) => self.synced(*answer),
-            GatewayEvent::Heard(state) => self.heard(*state),
+            GatewayEvent::Heard {
+                state,
+                orders_changed,
+            } => {
+                let peer_addr = state.peer_addr;
+                self.heard(*state);
+                if orders_changed > self.orders.changed_version() {
+                    self.ask(peer_addr);
+                }
+            }
             GatewayEvent::HostsRead(addrs) => {
                 for addr in addrs {
                     if addr != self.parts.settings.peer_addr {
@@ -165,8 +171,7 @@
                 Ok(()) => tracing::info!("fleet: this host is registered"),
                 Err(error) => {
                     tracing::info!("fleet: this host was not registered: {error}");
-                    self.is_registered = false;
-                    self.next_register = self.now().plus_ms(REGISTER_PAUSE_MS);
+                    self.store_duty.register_failed(self.now());
                 }
             },
             GatewayEvent::ReportRead { service, result } => match result {
@@ -192,30 +197,21 @@
     }
 
     fn stored(&mut self, table: StoredTable, result: Result<TableUpdate, StoreFault>) {
-        if table == StoredTable::Targets {
-            self.is_reading = false;
-        }
+        let now = self.now();
+        let change = self.store_duty.ended(table, result.as_ref().err(), now);
         match result {
             Ok(update) => {
-                if self.is_store_lost {
-                    self.is_store_lost = false;
+                if change == StoreChange::Regained {
                     tracing::info!(%table, version = update.version, "store: it answers again");
                 }
                 self.apply(table, &update);
             }
-            Err(StoreFault::HistoryLost) if table == StoredTable::Targets => {
-                self.is_reading = true;
-                self.parts.io.read(table, 0);
-            }
-            Err(StoreFault::HistoryLost) => {}
-            Err(error) => {
-                self.next_read = self.now().plus_ms(READ_PAUSE_MS);
-                if !self.is_store_lost {
-                    self.is_store_lost = true;
-                    tracing::warn!(%table, "store: {error}");
-                }
+            Err(error) if change == StoreChange::Lost => {
+                tracing::warn!(%table, "store: {error}");
             }
+            Err(error) => tracing::debug!(%table, "store: {error}"),
         }
+        self.read_store(now);
     }
 
     fn apply(&mut self, table: StoredTable, update: &TableUpdate) {
@@ -227,7 +223,8 @@
 
     fn apply_orders(&mut self, update: &TableUpdate) {
         let now = self.now();
-        let applied = self.orders.apply(update, now);
+        let is_same = |before: &[u8], after: &[u8]| before == after;
+        let applied = self.orders.apply(update, now, is_same);
         self.parts.fleet_writers.orders.publish(self.orders.clone());
         if applied.is_empty() {
             return;
@@ -240,6 +237,9 @@
         self.moves.set_orders(self.book.moves(), &names, now);
         self.publish_routes();
         self.publish_targets();
+        for addr in self.membership.partners(TOLD_OF_ORDERS, now, &mut self.rng) {
+            self.ask(addr);
+        }
     }
 
     fn publish_routes(&mut self) {
@@ -275,7 +275,9 @@
     fn apply_targets(&mut self, update: &TableUpdate) {
         let now = self.now();
         let before = self.targets.as_of();
-        let applied = self.targets.apply(update, now);
+        let platform = Arc::clone(&self.parts.io.platform);
+        let is_same = |before: &[u8], after: &[u8]| platform.is_same_target(before, after);
+        let applied = self.targets.apply(update, now, is_same);
         let gap_ms = self.targets.as_of().ms_since(before);
         self.parts
             .fleet_writers
@@ -359,6 +361,10 @@
         for state in answer.states {
             self.heard(state);
         }
+        let now = self.now();
+        for beat in answer.beats {
+            self.membership.hear_beat(beat, now);
+        }
         if let Some(update) = answer.orders {
             self.apply_orders(&update);
         }
@@ -367,23 +373,37 @@
         }
     }
 
-    fn own_state(&self, now: MonoNs) -> HostState {
+    /// Makes the state that the others are told, with a new revision if its content is new.
+    fn own_state(&mut self, now: MonoNs) -> HostState {
         let settings = &self.parts.settings;
-        HostState {
+        let mut state = HostState {
             host: settings.host.clone(),
             id: BeatId {
                 incarnation: self.parts.incarnation,
                 beat: self.beat,
             },
+            revision: 0,
             caller_addr: settings.caller_addr,
             peer_addr: settings.peer_addr,
             zone: settings.zone.clone(),
             stage: self.parts.board.stage(),
             requests_per_s: self.requests_per_s,
-            orders_version: self.orders.version(),
+            capacity_milli: settings.capacity_milli,
             moves: self.moves.states(now),
             crashes: self.crashes.tallies(),
+        };
+        if let Some(told) = &self.told {
+            let may_tell_tallies = self.beat.is_multiple_of(BEATS_PER_TALLY);
+            state.revision = told.revision;
+            if is_news(told, &state, may_tell_tallies) {
+                state.revision += 1;
+            } else {
+                state.requests_per_s = told.requests_per_s;
+                state.moves.clone_from(&told.moves);
+            }
         }
+        self.told = Some(state.clone());
+        state
     }
 
     fn tick(&mut self) -> DrainNext {
@@ -397,8 +417,7 @@
             self.sync(now);
         }
         self.step_moves(now);
-        self.read_targets(now);
-        self.find_hosts(now);
+        self.read_store(now);
         self.drain(now)
     }
 
@@ -449,13 +468,37 @@
         if has_changed {
             self.publish_targets();
         }
-        let partners = self.membership.partners(SYNC_PARTNERS, now, &mut self.rng);
+        let mut partners = self.membership.partners(1, now, &mut self.rng);
+        let readers = self.other_readers();
+        if !readers.is_empty() {
+            partners.push(readers[self.rng.random_range(0..readers.len())]);
+        }
+        partners.extend(self.membership.lost_lead(now, &mut self.rng));
+        partners.dedup();
         for addr in partners {
-            let request = self.parts.fleet_board.request(own.clone(), now);
-            self.parts.io.sync(addr, request);
+            self.ask(addr);
         }
     }
 
+    /// Returns the addresses of the other hosts that read the store for the fleet.
+    fn other_readers(&self) -> Vec<SocketAddr> {
+        let fleet = self.parts.board.fleet.read();
+        store_readers(&fleet.value)
+            .into_iter()
+            .filter(|host| host.host != self.parts.settings.host)
+            .map(|host| host.peer_addr)
+            .collect()
+    }
+
+    /// Begins an exchange with a host.
+    fn ask(&self, addr: SocketAddr) {
+        let Some(own) = &self.told else {
+            return;
+        };
+        let request = self.parts.fleet_board.request(own.clone(), self.now());
+        self.parts.io.sync(addr, request);
+    }
+
     /// Measures the requests a second since the last exchange, smoothed over about two seconds.
     fn count_requests(&mut self) {
         let total = self.parts.board.counts.requests.load(Ordering::Relaxed);
@@ -532,44 +575,31 @@
         }
     }
 
-    fn read_targets(&mut self, now: MonoNs) {
-        if self.is_reading || now < self.next_read {
-            return;
-        }
+    fn read_store(&mut self, now: MonoNs) {
+        let settings = &self.parts.settings;
         let fleet = self.parts.board.fleet.read();
-        let readers = fleet
-            .value
-            .live
-            .len()
-            .div_ceil(HOSTS_PER_READER)
-            .max(MIN_READERS);
-        let place = place("registrations", &self.parts.settings.host, &fleet.value);
-        let is_reader = place.is_some_and(|place| place < readers);
-        let due_ms = if is_reader {
-            READER_AGE_MS
-        } else {
-            FOLLOWER_AGE_MS
+        let own = &settings.host;
+        let facts = StoreFacts {
+            is_reader: store_readers(&fleet.value)
+                .iter()
+                .any(|host| host.host == *own),
+            is_alone: !self.membership.others().any(|host| host.is_live(now)),
+            orders_version: self.orders.version(),
+            targets_version: self.targets.version(),
+            targets_age_ms: self.targets.age_ms(now),
         };
-        if self.targets.age_ms(now) >= due_ms {
-            self.is_reading = true;
-            self.parts
-                .io
-                .read(StoredTable::Targets, self.targets.version());
-        }
-    }
-
-    fn find_hosts(&mut self, now: MonoNs) {
-        if !self.is_registered && now >= self.next_register {
-            self.is_registered = true;
-            let settings = &self.parts.settings;
-            self.parts
-                .io
-                .register(settings.host.clone(), settings.peer_addr);
-        }
-        let is_alone = !self.membership.others().any(|host| host.is_live(now));
-        if is_alone && now >= self.next_hosts_read {
-            self.next_hosts_read = now.plus_ms(HOSTS_PAUSE_MS);
-            self.parts.io.read_hosts();
+        drop(fleet);
+        for call in self.store_duty.next(&facts, now) {
+            let io = &self.parts.io;
+            match call {
+                StoreCall::Read {
+                    table,
+                    after,
+                    wait_ms,
+                } => io.read(table, after, wait_ms),
+                StoreCall::Register => io.register(settings.host.clone(), settings.peer_addr),
+                StoreCall::ReadHosts => io.read_hosts(),
+            }
         }
     }
 
@@ -610,3 +640,33 @@
         next
     }
 }
+
+/// Returns whether a state says more than the one that was told last.
+fn is_news(told: &HostState, state: &HostState, may_tell_tallies: bool) -> bool {
+    let (old, new) = (told.requests_per_s, state.requests_per_s);
+    let rate_changed = old.abs_diff(new) * 100 > old.max(4) * RATE_CHANGE_PERCENT;
+    let stages = |state: &HostState| -> Vec<_> {
+        let of = |known: &MoveState| {
+            let in_flight = known.current_in_flight > 0;
+            (
+                known.order_version,
+                known.stage,
+                known.is_reported,
+                in_flight,
+            )
+        };
+        state.moves.iter().map(of).collect()
+    };
+    let tallies = |state: &HostState| -> Vec<_> {
+        state
+            .moves
+            .iter()
+            .map(|known| known.routes.clone())
+            .collect()
+    };
+    rate_changed
+        || told.stage != state.stage
+        || told.crashes != state.crashes
+        || stages(told) != stages(state)
+        || (may_tell_tallies && tallies(told) != tallies(state))
+}
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -22,7 +22,11 @@
     /// Another host answered an exchange.
     Synced(Box<SyncAnswer>),
     /// Another host began an exchange.
-    Heard(Box<HostState>),
+    Heard {
+        state: Box<HostState>,
+        /// Version of the newest change of the orders that it has.
+        orders_changed: u64,
+    },
     /// The registered hosts were read.
     HostsRead(Vec<SocketAddr>),
     /// This host was registered.
--- a/crates/gateway/src/fleet_board.rs
+++ b/crates/gateway/src/fleet_board.rs
@@ -53,11 +53,12 @@
         own: heatherhinge_steering::HostState,
         now: MonoNs,
     ) -> SyncRequest {
-        let targets = self.targets.read();
+        let (orders, targets) = (self.orders.read(), self.targets.read());
         SyncRequest {
             own,
             digest: self.membership.read().value.digest(),
-            orders_version: self.orders.read().value.version(),
+            orders_version: orders.value.version(),
+            orders_changed: orders.value.changed_version(),
             targets_version: targets.value.version(),
             targets_age_ms: targets.value.age_ms(now),
         }
@@ -65,17 +66,21 @@
 
     /// Answers an exchange.
     pub(crate) fn answer(&self, request: SyncRequest, now: MonoNs) -> SyncAnswer {
-        let states = self.membership.read().value.newer_than(&request.digest);
+        let (states, beats) = self.membership.read().value.newer_than(&request.digest);
         let orders = self.orders.read();
-        let orders = (orders.value.version() > request.orders_version)
+        let orders = (orders.value.changed_version() > request.orders_changed)
             .then(|| orders.value.update_since(request.orders_version, now));
         let targets = self.targets.read();
         let is_fresher = targets.value.version() >= request.targets_version
             && targets.value.age_ms(now).saturating_add(FRESHER_MS) < request.targets_age_ms;
         let targets = is_fresher.then(|| targets.value.update_since(request.targets_version, now));
-        self.events.send(GatewayEvent::Heard(Box::new(request.own)));
+        self.events.send(GatewayEvent::Heard {
+            state: Box::new(request.own),
+            orders_changed: request.orders_changed,
+        });
         SyncAnswer {
             states,
+            beats,
             orders,
             targets,
         }
--- a/crates/gateway/src/fleet_service.rs
+++ b/crates/gateway/src/fleet_service.rs
@@ -3,8 +3,8 @@
 use crate::fleet_board::FleetBoard;
 use futures_util::StreamExt;
 use heatherhinge_proxy::Clock;
-use heatherhinge_steering::{BeatId, HostState, TableUpdate};
-use heatherhinge_types::{Code, Name};
+use heatherhinge_steering::{Beat, HostState, KnownState, TableUpdate};
+use heatherhinge_types::Code;
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
 use std::collections::BTreeMap;
@@ -41,9 +41,11 @@
     /// State of the asking host.
     pub own: HostState,
     /// States that it has.
-    pub digest: Vec<(Name, BeatId)>,
+    pub digest: Vec<KnownState>,
     /// Version of its copy of the orders.
     pub orders_version: u64,
+    /// Version of the newest change in it.
+    pub orders_changed: u64,
     /// Version of its copy of the registrations.
     pub targets_version: u64,
     /// Age of that copy in milliseconds.
@@ -53,8 +55,10 @@
 /// What the asking host lacks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SyncAnswer {
-    /// Newer states of hosts.
+    /// States of hosts whose content has changed.
     pub states: Vec<HostState>,
+    /// Beats of the other hosts.
+    pub beats: Vec<Beat>,
     /// Newer orders.
     pub orders: Option<TableUpdate>,
     /// Newer or more recently confirmed registrations.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -87,6 +87,7 @@
         let (events, receiver) = EventSender::new();
         let own = HostState {
             host: settings.host.clone(),
+            revision: 0,
             id: BeatId {
                 incarnation: started.wall_ms.0,
                 beat: 0,
@@ -96,7 +97,7 @@
             zone: settings.zone.clone(),
             stage: HostStage::Starting,
             requests_per_s: 0,
-            orders_version: 0,
+            capacity_milli: settings.capacity_milli,
             moves: Vec::new(),
             crashes: Vec::new(),
         };
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod probe;
 mod refusal;
 mod settings;
+mod store_duty;
 mod story;
 
 pub use answer::{AnswerBody, StreamedAnswer};
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -154,6 +154,9 @@
     /// Says which field cannot be used; such a row names no target.
     fn target(&self, key: &Name, content: &[u8]) -> Result<TargetEntry, MalformedRow>;
 
+    /// Returns whether two registrations of a target say the same but for its sign of life.
+    fn is_same_target(&self, before: &[u8], after: &[u8]) -> bool;
+
     /// Returns the names of headers.
     fn headers(&self) -> &WireHeaders;
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -25,6 +25,10 @@
     pub budget: BudgetLimits,
     /// Load probes that one target may get each second from all hosts together.
     pub probes_per_s: u64,
+    /// Processor share of the host in thousandths of a core.
+    pub capacity_milli: u32,
+    /// Time after which a target that is known to leave gets no new request, in milliseconds.
+    pub leave_ms: u64,
     /// Time between the signal to stop and the kill, in milliseconds.
     pub grace_ms: u64,
 }
--- /dev/null
+++ b/crates/gateway/src/store_duty.rs
@@ -0,0 +1,219 @@
+//! Decides which calls to the store this host makes.
+//!
+//! Calls are dear, so a few hosts read for all of them and the others learn from these. Every host
+//! reads for itself as soon as what it has learned is too old for the promises that rest on it.
+
+use crate::{StoreFault, StoredTable};
+use heatherhinge_steering::{FleetView, HostState, duty_holders};
+use heatherhinge_types::MonoNs;
+
+/// Hosts for each further reader.
+const HOSTS_PER_READER: usize = 40;
+/// Fewest readers, so that the death of one goes unnoticed.
+const MIN_READERS: usize = 2;
+/// Time that a reader's watch for orders waits for a change, in milliseconds. It bounds the time
+/// for which a connection that has fallen silent goes unnoticed.
+const ORDERS_WAIT_MS: u64 = 2_500;
+/// Age of the registrations at which a reader reads them again, in percent of the time within
+/// which a leaving target must get no more requests.
+const READER_AGE_PERCENT: u64 = 36;
+/// The same for any other host, which reads for itself then.
+const FOLLOWER_AGE_PERCENT: u64 = 70;
+/// First pause after a failed call, in milliseconds.
+const FIRST_PAUSE_MS: u64 = 100;
+/// Longest pause after failed calls, in milliseconds. An order is to be in force within 2 s of its
+/// acknowledgement, also when the store has just come back.
+const LONGEST_PAUSE_MS: u64 = 700;
+/// Pause between reads of the registered hosts while no other host is heard, in milliseconds.
+const HOSTS_PAUSE_MS: u64 = 3_000;
+/// Pause between attempts to register this host, in milliseconds.
+const REGISTER_PAUSE_MS: u64 = 1_000;
+
+/// Returns the hosts that read the store for the fleet.
+pub(crate) fn store_readers(fleet: &FleetView) -> Vec<&HostState> {
+    let count = MIN_READERS + fleet.live.len() / HOSTS_PER_READER;
+    duty_holders("store", count, fleet)
+}
+
+/// What the calls depend on.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct StoreFacts {
+    /// Whether this host reads for the fleet.
+    pub(crate) is_reader: bool,
+    /// Whether no other host is heard.
+    pub(crate) is_alone: bool,
+    /// Version of the copy of the orders; 0 without one.
+    pub(crate) orders_version: u64,
+    /// Version of the copy of the registrations; 0 without one.
+    pub(crate) targets_version: u64,
+    /// Age of the copy of the registrations in milliseconds.
+    pub(crate) targets_age_ms: u64,
+}
+
+/// A call to make.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreCall {
+    /// Read a table, whole if `after` is 0, else what changed, and wait for a change.
+    Read {
+        table: StoredTable,
+        after: u64,
+        wait_ms: u64,
+    },
+    /// Register this host.
+    Register,
+    /// Read which hosts are registered.
+    ReadHosts,
+}
+
+/// How the store's availability has changed for this host.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum StoreChange {
+    /// It is as before.
+    None,
+    /// The first call that failed.
+    Lost,
+    /// The first call that succeeded again.
+    Regained,
+}
+
+/// Calls for one table.
+#[derive(Clone, Copy, Debug)]
+struct TableDuty {
+    is_calling: bool,
+    must_read_whole: bool,
+    not_before: MonoNs,
+    pause_ms: u64,
+}
+
+impl TableDuty {
+    const fn new() -> Self {
+        Self {
+            is_calling: false,
+            must_read_whole: false,
+            not_before: MonoNs(0),
+            pause_ms: FIRST_PAUSE_MS,
+        }
+    }
+
+    fn ended(&mut self, fault: Option<&StoreFault>, now: MonoNs) {
+        self.is_calling = false;
+        match fault {
+            None => {
+                self.must_read_whole = false;
+                self.pause_ms = FIRST_PAUSE_MS;
+            }
+            Some(StoreFault::HistoryLost) => self.must_read_whole = true,
+            Some(_) => {
+                self.not_before = now.plus_ms(self.pause_ms);
+                self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
+            }
+        }
+    }
+
+    fn begin(&mut self, table: StoredTable, version: u64, wait_ms: u64) -> StoreCall {
+        self.is_calling = true;
+        let after = if self.must_read_whole { 0 } else { version };
+        StoreCall::Read {
+            table,
+            after,
+            wait_ms,
+        }
+    }
+
+    fn is_free(&self, now: MonoNs) -> bool {
+        !self.is_calling && now >= self.not_before
+    }
+}
+
+/// Keeps track of the calls of this host.
+#[derive(Debug)]
+pub(crate) struct StoreDuty {
+    orders: TableDuty,
+    targets: TableDuty,
+    learns_until: MonoNs,
+    reader_age_ms: u64,
+    follower_age_ms: u64,
+    next_hosts_read: MonoNs,
+    next_register: MonoNs,
+    is_registered: bool,
+    is_lost: bool,
+}
+
+impl StoreDuty {
+    /// Starts without calls. For `learn_ms` the host learns from others only; `leave_ms` is the
+    /// time within which a leaving target must get no more requests.
+    pub(crate) const fn new(now: MonoNs, learn_ms: u64, leave_ms: u64) -> Self {
+        Self {
+            orders: TableDuty::new(),
+            targets: TableDuty::new(),
+            learns_until: now.plus_ms(learn_ms),
+            reader_age_ms: leave_ms * READER_AGE_PERCENT / 100,
+            follower_age_ms: leave_ms * FOLLOWER_AGE_PERCENT / 100,
+            next_hosts_read: now,
+            next_register: now,
+            is_registered: false,
+            is_lost: false,
+        }
+    }
+
+    /// Takes in that a read has ended.
+    pub(crate) fn ended(
+        &mut self,
+        table: StoredTable,
+        fault: Option<&StoreFault>,
+        now: MonoNs,
+    ) -> StoreChange {
+        match table {
+            StoredTable::Orders => self.orders.ended(fault, now),
+            StoredTable::Targets => self.targets.ended(fault, now),
+        }
+        match fault {
+            None if self.is_lost => {
+                self.is_lost = false;
+                StoreChange::Regained
+            }
+            None | Some(StoreFault::HistoryLost) => StoreChange::None,
+            Some(_) if self.is_lost => StoreChange::None,
+            Some(_) => {
+                self.is_lost = true;
+                StoreChange::Lost
+            }
+        }
+    }
+
+    /// Takes in that this host was not registered.
+    pub(crate) fn register_failed(&mut self, now: MonoNs) {
+        self.is_registered = false;
+        self.next_register = now.plus_ms(REGISTER_PAUSE_MS);
+    }
+
+    /// Returns the calls to make now.
+    pub(crate) fn next(&mut self, facts: &StoreFacts, now: MonoNs) -> Vec<StoreCall> {
+        let mut calls = Vec::new();
+        if now < self.learns_until {
+            return calls;
+        }
+        let is_behind = facts.targets_age_ms >= self.follower_age_ms;
+        let targets_due =
+            is_behind || (facts.is_reader && facts.targets_age_ms >= self.reader_age_ms);
+        if targets_due && self.targets.is_free(now) {
+            let table = StoredTable::Targets;
+            calls.push(self.targets.begin(table, facts.targets_version, 0));
+        }
+        let orders_due = facts.is_reader || is_behind || facts.orders_version == 0;
+        if orders_due && self.orders.is_free(now) {
+            let wait_ms = if facts.is_reader { ORDERS_WAIT_MS } else { 0 };
+            let table = StoredTable::Orders;
+            calls.push(self.orders.begin(table, facts.orders_version, wait_ms));
+        }
+        if (facts.is_reader || facts.is_alone) && !self.is_registered && now >= self.next_register {
+            self.is_registered = true;
+            calls.push(StoreCall::Register);
+        }
+        if facts.is_alone && now >= self.next_hosts_read {
+            self.next_hosts_read = now.plus_ms(HOSTS_PAUSE_MS);
+            calls.push(StoreCall::ReadHosts);
+        }
+        calls
+    }
+}
--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -1,7 +1,7 @@
 //! What a host tells the others of itself.
 
 use crate::MoveState;
-use heatherhinge_types::Name;
+use heatherhinge_types::{Digest, Name};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -22,7 +22,28 @@
     /// Wall time of the process's start in Unix milliseconds.
     pub incarnation: u64,
     /// Counts the beats of the incarnation.
-    pub beat: u64,
+    pub beat: u32,
+}
+
+/// Says in a few bytes which state of a host is known. A fleet of 130 hosts exchanges several
+/// hundred lists of these each second.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct KnownState {
+    /// Names the host and its incarnation.
+    pub key: u32,
+    /// Newest beat.
+    pub beat: u32,
+    /// Revision of the content.
+    pub revision: u32,
+}
+
+/// A beat of a host whose content has not changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beat {
+    /// Names the host and its incarnation.
+    pub key: u32,
+    /// Newest beat.
+    pub beat: u32,
 }
 
 /// Targets that one request has crashed, as one host has counted them.
@@ -41,6 +62,8 @@
     pub host: Name,
     /// Which state this is.
     pub id: BeatId,
+    /// Counts changes of the fields below.
+    pub revision: u32,
     /// Address for callers.
     pub caller_addr: SocketAddr,
     /// Address for other hosts.
@@ -51,10 +74,29 @@
     pub stage: HostStage,
     /// Requests of callers in the last second.
     pub requests_per_s: u32,
-    /// Version of the store up to which it knows the orders.
-    pub orders_version: u64,
+    /// Processor share in thousandths of a core; larger hosts take on more of the common duties.
+    pub capacity_milli: u32,
     /// Moves that it takes part in.
     pub moves: Vec<MoveState>,
     /// Crashes that it has counted lately.
     pub crashes: Vec<CrashTally>,
 }
+
+impl HostState {
+    /// Returns the short name of the host's incarnation.
+    #[must_use]
+    pub fn key(&self) -> u32 {
+        let incarnation = self.id.incarnation.to_le_bytes();
+        Digest::of_parts(&[self.host.as_bytes(), &incarnation]).0 as u32
+    }
+
+    /// Returns which state this is.
+    #[must_use]
+    pub fn known(&self) -> KnownState {
+        KnownState {
+            key: self.key(),
+            beat: self.id.beat,
+            revision: self.revision,
+        }
+    }
+}
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -1,6 +1,6 @@
 //! Which hosts there are, from what they tell each other.
 
-use crate::{BeatId, HostStage, HostState};
+use crate::{Beat, HostStage, HostState, KnownState};
 use heatherhinge_types::{MonoNs, Name};
 use rand::{Rng, RngExt};
 use std::collections::BTreeMap;
@@ -13,6 +13,11 @@
 /// hosts that are gone for up to this long.
 const FORGET_MS: u64 = 30_000;
 
+/// Exchanges that stay within the zone, in percent.
+const NEAR_PERCENT: u32 = 75;
+/// Rounds of exchanges after which a host that is not heard is asked again, on average.
+const LEAD_ROUNDS: u32 = 6;
+
 /// A host as another one sees it.
 #[derive(Clone, Debug)]
 pub struct Sighting {
@@ -35,6 +40,8 @@
 pub struct Membership {
     own: Name,
     hosts: BTreeMap<Name, Sighting>,
+    /// Hosts by the short names of their incarnations.
+    keys: BTreeMap<u32, Name>,
     /// Addresses of hosts that were not heard yet, from settings and the store.
     leads: Vec<SocketAddr>,
 }
@@ -51,6 +58,7 @@
         Self {
             own: name.clone(),
             hosts: BTreeMap::from([(name, sighting)]),
+            keys: BTreeMap::new(),
             leads: Vec::new(),
         }
     }
@@ -76,61 +84,103 @@
             return false;
         }
         self.leads.retain(|lead| *lead != state.peer_addr);
+        self.keys.insert(state.key(), state.host.clone());
         let sighting = Sighting { state, heard: now };
         self.hosts.insert(sighting.state.host.clone(), sighting);
         true
     }
 
+    /// Takes in a beat of a host whose state is known.
+    pub fn hear_beat(&mut self, beat: Beat, now: MonoNs) {
+        let Some(name) = self.keys.get(&beat.key) else {
+            return;
+        };
+        if let Some(known) = self.hosts.get_mut(name)
+            && *name != self.own
+            && known.state.key() == beat.key
+            && known.state.id.beat < beat.beat
+        {
+            known.state.id.beat = beat.beat;
+            known.heard = now;
+        }
+    }
+
     /// Forgets hosts that have been silent for long.
     pub fn forget_silent(&mut self, now: MonoNs) {
         let own = self.own.clone();
         self.hosts
             .retain(|name, host| *name == own || now.ms_since(host.heard) < FORGET_MS);
+        let hosts = &self.hosts;
+        self.keys
+            .retain(|key, name| hosts.get(name).is_some_and(|host| host.state.key() == *key));
     }
 
     /// Lists which state of each host is known here.
     #[must_use]
-    pub fn digest(&self) -> Vec<(Name, BeatId)> {
-        let id = |(name, host): (&Name, &Sighting)| (name.clone(), host.state.id);
-        self.hosts.iter().map(id).collect()
+    pub fn digest(&self) -> Vec<KnownState> {
+        self.hosts.values().map(|host| host.state.known()).collect()
     }
 
-    /// Returns the states that are newer than those of a digest.
+    /// Returns what is newer here than in a digest: whole states where the content has changed,
+    /// else beats.
     #[must_use]
-    pub fn newer_than(&self, digest: &[(Name, BeatId)]) -> Vec<HostState> {
-        let known: BTreeMap<&Name, BeatId> = digest.iter().map(|(name, id)| (name, *id)).collect();
-        self.hosts
-            .values()
-            .filter(|host| {
-                known
-                    .get(&host.state.host)
-                    .is_none_or(|id| *id < host.state.id)
-            })
-            .map(|host| host.state.clone())
-            .collect()
+    pub fn newer_than(&self, digest: &[KnownState]) -> (Vec<HostState>, Vec<Beat>) {
+        let known: BTreeMap<u32, KnownState> =
+            digest.iter().map(|known| (known.key, *known)).collect();
+        let (mut states, mut beats) = (Vec::new(), Vec::new());
+        for host in self.hosts.values() {
+            let here = host.state.known();
+            match known.get(&here.key) {
+                Some(there) if there.revision >= here.revision => {
+                    if there.beat < here.beat {
+                        beats.push(Beat {
+                            key: here.key,
+                            beat: here.beat,
+                        });
+                    }
+                }
+                _ => states.push(host.state.clone()),
+            }
+        }
+        (states, beats)
     }
 
-    /// Picks the hosts to exchange states with: live ones at random, and leads while hosts are
-    /// wanting or as a way back after a network partition.
+    /// Picks live hosts at random to exchange states with. Hosts of the own zone are preferred,
+    /// because bytes between zones are dear.
     pub fn partners<R: Rng>(&self, count: usize, now: MonoNs, rng: &mut R) -> Vec<SocketAddr> {
-        let mut live: Vec<SocketAddr> = self
-            .others()
-            .filter(|host| host.is_live(now))
-            .map(|host| host.state.peer_addr)
-            .collect();
+        let is_near_only = rng.random_range(0..100) < NEAR_PERCENT;
+        let zone = self.hosts.get(&self.own).map(|own| own.state.zone.clone());
+        let live = self.others().filter(|host| host.is_live(now));
+        let (near, far): (Vec<_>, Vec<_>) =
+            live.partition(|host| Some(&host.state.zone) == zone.as_ref());
+        let mut open: Vec<SocketAddr> = match (is_near_only, near.len() >= count) {
+            (true, true) => near.iter().map(|host| host.state.peer_addr).collect(),
+            _ => near
+                .iter()
+                .chain(&far)
+                .map(|host| host.state.peer_addr)
+                .collect(),
+        };
         let mut partners = Vec::with_capacity(count + 1);
-        while partners.len() < count && !live.is_empty() {
-            partners.push(live.swap_remove(rng.random_range(0..live.len())));
+        while partners.len() < count && !open.is_empty() {
+            partners.push(open.swap_remove(rng.random_range(0..open.len())));
         }
+        partners
+    }
+
+    /// Picks an address at which a host may answer that is not heard at the moment: always while
+    /// no host is live, and now and then as a way back after a network partition.
+    pub fn lost_lead<R: Rng>(&self, now: MonoNs, rng: &mut R) -> Option<SocketAddr> {
+        let is_alone = !self.others().any(|host| host.is_live(now));
         let silent = self
             .others()
             .filter(|host| !host.is_live(now) && host.state.stage != HostStage::Leaving)
             .map(|host| host.state.peer_addr);
         let lost: Vec<SocketAddr> = silent.chain(self.leads.iter().copied()).collect();
-        if !lost.is_empty() && (partners.len() < count || rng.random_range(0..4) == 0) {
-            partners.push(lost[rng.random_range(0..lost.len())]);
+        if lost.is_empty() || !(is_alone || rng.random_range(0..LEAD_ROUNDS) == 0) {
+            return None;
         }
-        partners
+        Some(lost[rng.random_range(0..lost.len())])
     }
 
     /// Lists the other hosts.
--- a/crates/steering/src/rendezvous.rs
+++ b/crates/steering/src/rendezvous.rs
@@ -1,6 +1,6 @@
 //! Chooses hosts for a duty by rendezvous hashing, so that hosts with the same view agree.
 
-use crate::FleetView;
+use crate::{FleetView, HostStage, HostState};
 use heatherhinge_types::{Digest, Name};
 
 /// Returns the weight of a host for a duty; the highest weight has it.
@@ -27,3 +27,19 @@
         .count();
     Some(before)
 }
+
+/// Returns the hosts that have a common duty of the fleet, the first one first. Larger hosts come
+/// before smaller ones, and leaving hosts have no duty.
+#[must_use]
+pub fn duty_holders<'a>(duty: &str, count: usize, fleet: &'a FleetView) -> Vec<&'a HostState> {
+    let mut hosts: Vec<&HostState> = fleet
+        .live
+        .iter()
+        .filter(|host| host.stage != HostStage::Leaving)
+        .collect();
+    hosts.sort_by_cached_key(|host| {
+        std::cmp::Reverse((host.capacity_milli, weight(duty, &host.host)))
+    });
+    hosts.truncate(count);
+    hosts
+}
--- a/crates/steering/src/replica.rs
+++ b/crates/steering/src/replica.rs
@@ -54,6 +54,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Replica {
     version: u64,
+    changed_version: u64,
     as_of: MonoNs,
     rows: BTreeMap<Name, ReplicaRow>,
     tombstones: BTreeMap<Name, u64>,
@@ -68,6 +69,12 @@
         self.version
     }
 
+    /// Returns the version of the newest change that the copy holds.
+    #[must_use]
+    pub const fn changed_version(&self) -> u64 {
+        self.changed_version
+    }
+
     /// Returns the time at which the copy was known to be current.
     #[must_use]
     pub const fn as_of(&self) -> MonoNs {
@@ -91,7 +98,15 @@
 
     /// Takes an update in and returns the rows that differ. An update that is older than the copy
     /// changes nothing, so the copy never goes back.
-    pub fn apply(&mut self, update: &TableUpdate, received: MonoNs) -> Vec<AppliedChange> {
+    ///
+    /// A row whose new content is the same by `is_same` keeps its old content and version, so that
+    /// it is not told to other hosts again.
+    pub fn apply(
+        &mut self,
+        update: &TableUpdate,
+        received: MonoNs,
+        is_same: impl Fn(&[u8], &[u8]) -> bool,
+    ) -> Vec<AppliedChange> {
         if update.version < self.version {
             return Vec::new();
         }
@@ -102,7 +117,7 @@
             self.remove_unlisted(update, &mut applied);
         }
         for change in &update.rows {
-            self.apply_row(change, &mut applied);
+            self.apply_row(change, &is_same, &mut applied);
         }
         self.version = update.version;
         self.forget_tombstones();
@@ -119,6 +134,7 @@
         for key in missing {
             self.rows.remove(&key);
             self.tombstones.insert(key.clone(), update.version);
+            self.changed_version = self.changed_version.max(update.version);
             applied.push(AppliedChange { key, row: None });
         }
         if self.version == 0 {
@@ -126,11 +142,22 @@
         }
     }
 
-    fn apply_row(&mut self, change: &RowChange, applied: &mut Vec<AppliedChange>) {
-        let known = self.rows.get(&change.key).map(|row| row.version);
-        if known.is_some_and(|version| version >= change.version) {
-            return;
+    fn apply_row(
+        &mut self,
+        change: &RowChange,
+        is_same: &impl Fn(&[u8], &[u8]) -> bool,
+        applied: &mut Vec<AppliedChange>,
+    ) {
+        if let Some(known) = self.rows.get(&change.key) {
+            let is_repeat = change
+                .content
+                .as_ref()
+                .is_some_and(|content| is_same(&known.content, content));
+            if known.version >= change.version || is_repeat {
+                return;
+            }
         }
+        self.changed_version = self.changed_version.max(change.version);
         let row = change.content.clone().map(|content| ReplicaRow {
             version: change.version,
             content,
