Send late answers to idle slots only and refuse what cannot be answered

Requests queued at targets until all of them were late; 486 ran into the route's timeout at the target. Ruled out: probes (35 a target and second) and stale views (the refusals name full targets).

A request now estimates its answer from the route's usual time and the target's cost. It joins a queue only if the answer meets the objective, takes a slow target's slot only while half of its slots are idle, and is refused if no answer can come in time. Retry-After grows with the caller's time left.

--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -4,6 +4,7 @@
 use crate::probe::text;
 use bytes::Bytes;
 use heatherhinge_orders::{Route, RouteTable};
+use heatherhinge_steering::Cost;
 use heatherhinge_types::{Code, Digest, MonoNs, Name};
 use http::header::{CONNECTION, HOST, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
 use http::request::Parts;
@@ -18,11 +19,27 @@
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
 /// Part of the objective for which a request may be held while no target is good, as a divisor.
 const HOLD_DIVISOR: u64 = 8;
+/// Part of the time left that the expected time of an answer may take, in percent. The work of
+/// single requests differs from the usual.
+const FITS_PERCENT: u64 = 80;
+/// Usual time that is assumed of a route without answers so far, in percent of its objective.
+const UNKNOWN_TIME_PERCENT: u64 = 40;
 /// Objective of a route that states none, in milliseconds.
 const DEFAULT_OBJECTIVE_MS: u64 = 500;
 /// Headers about one connection that the library has no constant for.
 const HOP_BY_HOP_OLD: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authenticate"];
 
+/// When an answer is likely to come.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(crate) enum Promise {
+    /// Within the route's objective.
+    InTime,
+    /// Later, but while the caller still waits.
+    Late,
+    /// After the caller has given up.
+    Never,
+}
+
 /// A request that has been read whole.
 #[derive(Debug)]
 pub(crate) struct Call {
@@ -38,6 +55,8 @@
     pub(crate) give_up: MonoNs,
     /// Names requests that are alike, for those that crash targets.
     pub(crate) digest: u64,
+    /// Usual time of the route's answers in microseconds, if it is known.
+    pub(crate) usual_us: Option<u64>,
     /// Version of the routes that decided.
     pub(crate) routes_version: u64,
 }
@@ -51,6 +70,22 @@
             .min(self.give_up)
     }
 
+    /// Returns when an answer of a target of this cost is likely to come.
+    pub(crate) fn promise(&self, cost: Cost, now: MonoNs) -> Promise {
+        let objective_ms = self.route.objective_ms.unwrap_or(DEFAULT_OBJECTIVE_MS);
+        let unknown_us = objective_ms * 1_000 * UNKNOWN_TIME_PERCENT / 100;
+        let expected_us = cost.time_us(self.usual_us.unwrap_or(unknown_us));
+        let left_us = self.give_up.ns_since(now) / 1_000;
+        let objective_us = self.arrived.plus_ms(objective_ms).ns_since(now) / 1_000;
+        if expected_us <= objective_us {
+            Promise::InTime
+        } else if expected_us * 100 <= left_us * FITS_PERCENT {
+            Promise::Late
+        } else {
+            Promise::Never
+        }
+    }
+
     /// Returns the request's id as text for logs.
     pub(crate) fn id_text(&self) -> &str {
         self.id.to_str().unwrap_or("-")
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -81,14 +81,23 @@
         counts.in_flight.fetch_add(1, Ordering::AcqRel);
         let _active = Active(&self.board);
         let id = request.headers().get(&self.headers.request_id).cloned();
-        match self.accept(request).await {
+        let arrived = self.clock.mono_ns();
+        let allowed_ms = deadline_ms(request.headers(), &self.headers).unwrap_or(0);
+        match self.accept(request, arrived).await {
             Ok(response) => response,
-            Err(code) => refusal(code, &self.headers.request_id, id.as_ref()),
+            Err(code) => {
+                let spent_ms = self.clock.mono_ns().ms_since(arrived);
+                let left_ms = allowed_ms.saturating_sub(spent_ms);
+                refusal(code, &self.headers.request_id, id.as_ref(), left_ms)
+            }
         }
     }
 
-    async fn accept(&self, request: Request<Incoming>) -> Result<Response<AnswerBody>, Code> {
-        let arrived = self.clock.mono_ns();
+    async fn accept(
+        &self,
+        request: Request<Incoming>,
+        arrived: MonoNs,
+    ) -> Result<Response<AnswerBody>, Code> {
         let (head, body) = request.into_parts();
         let id = head.headers.get(&self.headers.request_id).cloned();
         let read = self.read(head, body, arrived).await;
@@ -133,7 +142,8 @@
         let body_bytes = table.value.limits.body_bytes;
         let body = read_body(body, body_bytes, Duration::from_millis(deadline_ms)).await?;
         let stats = self.board.route_stats.read_owned();
-        let destination = match stats.value.get(&route.name) {
+        let stat = stats.value.get(&route.name);
+        let destination = match stat {
             Some(stat) => stat.split.next(&route.destinations),
             None => route.destinations.first(),
         };
@@ -150,6 +160,7 @@
             head,
             body,
             service,
+            usual_us: stat.and_then(|stat| stat.usual_us()),
             arrived,
             deadline,
             give_up: arrived.plus_ms(timeout_ms).min(deadline),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,10 +1,11 @@
 //! Finds the target for a request by asking a few for their load.
 
-use crate::call::Call;
+use crate::call::{Call, Promise};
 use crate::probe::{Probed, Prober};
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    Cost, Fit, ProbeSupply, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost, fit, sample,
+    Cost, Fit, LoadFigure, ProbeSupply, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost,
+    fit, sample,
 };
 use heatherhinge_types::{Code, MonoNs, Name};
 use rand_pcg::Pcg64Mcg;
@@ -42,9 +43,8 @@
 const SILENT_ROUND_WAIT: Duration = Duration::from_millis(60);
 /// Pause before a request is tried again that found no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
-/// Requests that may wait at a target, in percent of its slots, for the most urgent routes. Each
-/// step of priority halves it.
-const URGENT_WAITING_PERCENT: u32 = 200;
+/// Share of a target's slots, in percent, that late answers may take.
+const LATE_SLOTS_PERCENT: u32 = 50;
 
 /// A target for one attempt.
 #[derive(Debug)]
@@ -148,10 +148,11 @@
         if standard == Standard::GoodOnly {
             return None;
         }
-        let limit = waiting_limit_percent(call.route.priority);
-        search
-            .found
-            .retain(|probed| probed.load.waiting * 100 < probed.load.slots * limit);
+        let now = self.clock.mono_ns();
+        search.found.retain(|probed| {
+            let (fit, cost) = self.rank(probed, now);
+            is_worth_it(call.promise(cost, now), fit, &probed.load)
+        });
         self.take_best(&mut search, Fit::Queues)
     }
 
@@ -198,7 +199,15 @@
     }
 }
 
-/// Returns how many requests may wait at a target, in percent of its slots.
-fn waiting_limit_percent(priority: u32) -> u32 {
-    URGENT_WAITING_PERCENT >> priority.min(8)
+/// Returns whether a request is sent to a target that is not good. A late answer is worth little,
+/// so it may take slots that would stay empty, but neither a place in a queue, where it would make
+/// the ones behind it late, nor the last slots of a target that may soon be fast again.
+fn is_worth_it(promise: Promise, fit: Fit, load: &LoadFigure) -> bool {
+    match (promise, fit) {
+        (Promise::InTime, _) => true,
+        (Promise::Late, Fit::Good | Fit::Slow) => {
+            (load.running + 1) * 100 <= load.slots * LATE_SLOTS_PERCENT
+        }
+        (Promise::Late, Fit::Queues) | (Promise::Never, _) => false,
+    }
 }
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -5,16 +5,22 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response};
 
-/// Time after which a caller may come back when targets are full, in milliseconds.
-const RETRY_AFTER_FULL_MS: u64 = 150;
+/// Shortest time after which a caller may come back when targets are full, in milliseconds.
+const RETRY_AFTER_FULL_MIN_MS: u64 = 150;
+/// Longest time after which a caller may come back when targets are full, in milliseconds.
+const RETRY_AFTER_FULL_MAX_MS: u64 = 1_000;
+/// Part of the caller's time left after which it may come back when targets are full, as a
+/// divisor. Callers wait for at most a third of their time.
+const RETRY_AFTER_DIVISOR: u64 = 4;
 /// Time after which a caller may come back when the host cannot serve yet, in milliseconds.
 const RETRY_AFTER_START_MS: u64 = 300;
 
-/// Makes the answer for a code.
+/// Makes the answer for a code; `left_ms` is the time that the caller still waits.
 pub(crate) fn refusal(
     code: Code,
     request_id: &HeaderName,
     id: Option<&HeaderValue>,
+    left_ms: u64,
 ) -> Response<AnswerBody> {
     let body = format!(
         "{{\"code\":{},\"ran\":\"{}\",\"message\":\"{}\"}}",
@@ -31,7 +37,7 @@
     if let Some(id) = id {
         headers.insert(request_id.clone(), id.clone());
     }
-    if let Some(after_ms) = retry_after_ms(code) {
+    if let Some(after_ms) = retry_after_ms(code, left_ms) {
         let seconds = format!("{}.{:03}", after_ms / 1_000, after_ms % 1_000);
         if let Ok(value) = HeaderValue::from_str(&seconds) {
             headers.insert(RETRY_AFTER, value);
@@ -41,9 +47,12 @@
 }
 
 /// Returns when a caller may come back, for codes that promise that the request has not run.
-const fn retry_after_ms(code: Code) -> Option<u64> {
+fn retry_after_ms(code: Code, left_ms: u64) -> Option<u64> {
     match code {
-        Code::QueueFull | Code::TargetShed | Code::DeadlineTooShort => Some(RETRY_AFTER_FULL_MS),
+        Code::QueueFull | Code::TargetShed | Code::DeadlineTooShort => {
+            let after_ms = left_ms / RETRY_AFTER_DIVISOR;
+            Some(after_ms.clamp(RETRY_AFTER_FULL_MIN_MS, RETRY_AFTER_FULL_MAX_MS))
+        }
         Code::NoTarget | Code::NoBundle | Code::Leaving | Code::HeldBack => {
             Some(RETRY_AFTER_START_MS)
         }
--- a/crates/steering/src/rank.rs
+++ b/crates/steering/src/rank.rs
@@ -13,6 +13,14 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Cost(pub u64);
 
+impl Cost {
+    /// Returns the expected time for a request that usually takes `usual_us` microseconds.
+    #[must_use]
+    pub const fn time_us(self, usual_us: u64) -> u64 {
+        usual_us.saturating_mul(self.0) / USUAL_SLOWNESS_PERCENT as u64
+    }
+}
+
 /// How well a target suits a request at the moment.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Fit {
