Ask one host at a time for orders, and soak the daemons under faults

Each host asked several others for it at once, every answer carried all of it, and exchanges ended after 400 ms; the readers' links were full. Ruled out: the store, which answered the readers within 100 ms.

Only one exchange at a time may bring orders, it may take 1.5 s, and a host that has heard of newer orders for 700 ms reads the store. Routes are found by the prefixes of the path instead of a scan over all of them.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -81,6 +81,12 @@
     beat: u32,
     ticks: u64,
     told: Option<HostState>,
+    /// Whether an exchange is under way that may bring orders.
+    orders_asked: bool,
+    /// A host that has newer orders.
+    newer_orders_at: Option<SocketAddr>,
+    /// Since when another host is known to have newer orders.
+    behind_since: Option<MonoNs>,
     store_duty: StoreDuty,
     requests_per_s: u32,
     requests_before: u64,
@@ -112,6 +118,9 @@
             beat: 0,
             ticks: 0,
             told: None,
+            orders_asked: false,
+            newer_orders_at: None,
+            behind_since: None,
             store_duty,
             requests_per_s: 0,
             requests_before: 0,
@@ -149,15 +158,25 @@
     fn take(&mut self, event: GatewayEvent) {
         match event {
             GatewayEvent::Stored { table, result } => self.stored(table, result),
-            GatewayEvent::Synced(answer) => self.synced(*answer),
-            GatewayEvent::Heard {
-                state,
-                orders_changed,
+            GatewayEvent::Synced {
+                wanted_orders,
+                answer,
             } => {
+                if wanted_orders {
+                    self.orders_asked = false;
+                }
+                if let Some(answer) = answer {
+                    self.synced(*answer);
+                }
+                self.ask_for_orders();
+            }
+            GatewayEvent::Heard { state, orders_told } => {
                 let peer_addr = state.peer_addr;
                 self.heard(*state);
-                if orders_changed > self.orders.changed_version() {
-                    self.ask(peer_addr);
+                if orders_told > self.orders.changed_version() {
+                    self.behind_since = self.behind_since.or_else(|| Some(self.now()));
+                    self.newer_orders_at = Some(peer_addr);
+                    self.ask_for_orders();
                 }
             }
             GatewayEvent::HostsRead(addrs) => {
@@ -229,6 +248,8 @@
         if applied.is_empty() {
             return;
         }
+        self.behind_since = None;
+        self.newer_orders_at = None;
         let platform = Arc::clone(&self.parts.io.platform);
         for change in &applied {
             self.book.apply(platform.as_ref(), change);
@@ -490,12 +511,26 @@
             .collect()
     }
 
-    /// Begins an exchange with a host.
-    fn ask(&self, addr: SocketAddr) {
+    /// Asks a host that has newer orders for them, unless another one is being asked.
+    fn ask_for_orders(&mut self) {
+        if self.orders_asked {
+            return;
+        }
+        if let Some(addr) = self.newer_orders_at.take() {
+            self.ask(addr);
+        }
+    }
+
+    /// Begins an exchange with a host. Only one exchange at a time may bring orders, because they
+    /// can be large and several hosts may have the same ones.
+    fn ask(&mut self, addr: SocketAddr) {
         let Some(own) = &self.told else {
             return;
         };
-        let request = self.parts.fleet_board.request(own.clone(), self.now());
+        let wants_orders = !self.orders_asked;
+        self.orders_asked = true;
+        let board = &self.parts.fleet_board;
+        let request = board.request(own.clone(), wants_orders, self.parts.clock.mono_ns());
         self.parts.io.sync(addr, request);
     }
 
@@ -583,6 +618,7 @@
             is_reader: store_readers(&fleet.value)
                 .iter()
                 .any(|host| host.host == *own),
+            orders_behind_ms: self.behind_since.map_or(0, |since| now.ms_since(since)),
             is_alone: !self.membership.others().any(|host| host.is_live(now)),
             orders_version: self.orders.version(),
             targets_version: self.targets.version(),
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -19,13 +19,18 @@
         table: StoredTable,
         result: Result<TableUpdate, StoreFault>,
     },
-    /// Another host answered an exchange.
-    Synced(Box<SyncAnswer>),
+    /// An exchange that this host began has ended.
+    Synced {
+        /// Whether it could have brought orders.
+        wanted_orders: bool,
+        /// What the other host answered, if it did in time.
+        answer: Option<Box<SyncAnswer>>,
+    },
     /// Another host began an exchange.
     Heard {
         state: Box<HostState>,
         /// Version of the newest change of the orders that it has.
-        orders_changed: u64,
+        orders_told: u64,
     },
     /// The registered hosts were read.
     HostsRead(Vec<SocketAddr>),
--- a/crates/gateway/src/fleet_board.rs
+++ b/crates/gateway/src/fleet_board.rs
@@ -1,7 +1,7 @@
 //! What a host tells the others, as snapshots.
 
 use crate::events::{EventSender, GatewayEvent};
-use crate::fleet_service::{SyncAnswer, SyncRequest};
+use crate::fleet_service::{NO_ORDERS, SyncAnswer, SyncRequest};
 use heatherhinge_blackboard::{Reader, Writer, entry};
 use heatherhinge_steering::{Membership, Replica};
 use heatherhinge_types::MonoNs;
@@ -51,6 +51,7 @@
     pub(crate) fn request(
         &self,
         own: heatherhinge_steering::HostState,
+        wants_orders: bool,
         now: MonoNs,
     ) -> SyncRequest {
         let (orders, targets) = (self.orders.read(), self.targets.read());
@@ -58,7 +59,12 @@
             own,
             digest: self.membership.read().value.digest(),
             orders_version: orders.value.version(),
-            orders_changed: orders.value.changed_version(),
+            orders_changed: if wants_orders {
+                orders.value.changed_version()
+            } else {
+                NO_ORDERS
+            },
+            orders_told: orders.value.changed_version(),
             targets_version: targets.value.version(),
             targets_age_ms: targets.value.age_ms(now),
         }
@@ -76,7 +82,7 @@
         let targets = is_fresher.then(|| targets.value.update_since(request.targets_version, now));
         self.events.send(GatewayEvent::Heard {
             state: Box::new(request.own),
-            orders_changed: request.orders_changed,
+            orders_told: request.orders_told,
         });
         SyncAnswer {
             states,
--- a/crates/gateway/src/fleet_service.rs
+++ b/crates/gateway/src/fleet_service.rs
@@ -26,6 +26,11 @@
 const MAX_FRAME_BYTES: usize = 1 << 20;
 /// Longest time for an exchange, the time to connect included.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
+/// Longest time for an exchange that may bring orders. A configuration of some hundred kilobytes
+/// takes most of a second over the link of a small host.
+const ORDERS_SYNC_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Stands for a version of the orders to which nothing is newer: the asking host wants none.
+pub(crate) const NO_ORDERS: u64 = u64::MAX;
 /// Longest time that sent bytes may stay unacknowledged.
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(2);
 /// Calls of one connection that are worked on at once.
@@ -44,8 +49,10 @@
     pub digest: Vec<KnownState>,
     /// Version of its copy of the orders.
     pub orders_version: u64,
-    /// Version of the newest change in it.
+    /// Version of the newest change in it, or [`NO_ORDERS`].
     pub orders_changed: u64,
+    /// Version of the newest change of the orders that it could tell.
+    pub orders_told: u64,
     /// Version of its copy of the registrations.
     pub targets_version: u64,
     /// Age of that copy in milliseconds.
@@ -144,8 +151,13 @@
 impl FleetClient {
     /// Exchanges states with a host; `None` if it does not answer in time.
     pub(crate) async fn sync(&self, addr: SocketAddr, request: SyncRequest) -> Option<SyncAnswer> {
-        let deadline = Instant::now() + SYNC_TIMEOUT;
-        let answer = timeout(SYNC_TIMEOUT, self.call(addr, request, deadline)).await;
+        let longest = if request.orders_changed == NO_ORDERS {
+            SYNC_TIMEOUT
+        } else {
+            ORDERS_SYNC_TIMEOUT
+        };
+        let deadline = Instant::now() + longest;
+        let answer = timeout(longest, self.call(addr, request, deadline)).await;
         if let Ok(Some(answer)) = answer {
             return Some(answer);
         }
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -1,7 +1,7 @@
 //! Calls to the store and to other hosts. Each runs in a task that reports back.
 
 use crate::events::{EventSender, GatewayEvent};
-use crate::fleet_service::{FleetClient, SyncRequest};
+use crate::fleet_service::{FleetClient, NO_ORDERS, SyncRequest};
 use crate::{Platform, StoredTable};
 use heatherhinge_steering::{ReportedState, SteeringBoard};
 use heatherhinge_types::Name;
@@ -52,8 +52,12 @@
     pub(crate) fn sync(&self, addr: SocketAddr, request: SyncRequest) {
         let fleet = Arc::clone(&self.fleet);
         self.spawn(async move {
-            let answer = fleet.sync(addr, request).await?;
-            Some(GatewayEvent::Synced(Box::new(answer)))
+            let wanted_orders = request.orders_changed != NO_ORDERS;
+            let answer = fleet.sync(addr, request).await.map(Box::new);
+            Some(GatewayEvent::Synced {
+                wanted_orders,
+                answer,
+            })
         });
     }
 
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -19,6 +19,9 @@
 const READER_AGE_PERCENT: u64 = 36;
 /// The same for any other host, which reads for itself then.
 const FOLLOWER_AGE_PERCENT: u64 = 70;
+/// Time after which a host reads orders from the store that another host is known to have, in
+/// milliseconds.
+const ORDERS_BEHIND_MS: u64 = 700;
 /// First pause after a failed call, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds. An order is to be in force within 2 s of its
@@ -40,6 +43,8 @@
 pub(crate) struct StoreFacts {
     /// Whether this host reads for the fleet.
     pub(crate) is_reader: bool,
+    /// Time for which another host is known to have newer orders, in milliseconds.
+    pub(crate) orders_behind_ms: u64,
     /// Whether no other host is heard.
     pub(crate) is_alone: bool,
     /// Version of the copy of the orders; 0 without one.
@@ -200,7 +205,10 @@
             let table = StoredTable::Targets;
             calls.push(self.targets.begin(table, facts.targets_version, 0));
         }
-        let orders_due = facts.is_reader || is_behind || facts.orders_version == 0;
+        let orders_due = facts.is_reader
+            || is_behind
+            || facts.orders_version == 0
+            || facts.orders_behind_ms >= ORDERS_BEHIND_MS;
         if orders_due && self.orders.is_free(now) {
             let wait_ms = if facts.is_reader { ORDERS_WAIT_MS } else { 0 };
             let table = StoredTable::Orders;
--- a/crates/orders/src/route_table.rs
+++ b/crates/orders/src/route_table.rs
@@ -10,8 +10,9 @@
 pub struct RouteTable {
     /// Version of the configuration; 0 before the first one.
     pub version: u64,
-    /// Routes by host name, each list with the longest prefix first.
-    routes: BTreeMap<Name, Vec<Arc<Route>>>,
+    /// Routes by host name and prefix. A configuration may have thousands of routes, so a path is
+    /// looked up by its prefixes instead of being compared with all of them.
+    routes: BTreeMap<Name, BTreeMap<Name, Arc<Route>>>,
     /// Services by name.
     pub services: BTreeMap<Name, Arc<ServiceSpec>>,
     /// Limits for callers.
@@ -27,12 +28,10 @@
         services: BTreeMap<Name, Arc<ServiceSpec>>,
         limits: CallerLimits,
     ) -> Self {
+        let by_prefix = |route: Route| (route.prefix.clone(), Arc::new(route));
         let routes = hosts
             .into_iter()
-            .map(|(host, mut routes)| {
-                routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
-                (host, routes.into_iter().map(Arc::new).collect())
-            })
+            .map(|(host, routes)| (host, routes.into_iter().map(by_prefix).collect()))
             .collect();
         Self {
             version,
@@ -51,14 +50,19 @@
     /// Finds the route with the longest prefix that begins the path.
     #[must_use]
     pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        self.routes
-            .get(host)?
-            .iter()
-            .find(|route| path.starts_with(route.prefix.as_str()))
+        let routes = self.routes.get(host)?;
+        let mut end = path.len();
+        while let Some(slash) = path.get(..end)?.rfind('/') {
+            if let Some(route) = routes.get(path.get(..=slash)?) {
+                return Some(route);
+            }
+            end = slash;
+        }
+        None
     }
 
     /// Lists all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
-        self.routes.values().flatten()
+        self.routes.values().flat_map(BTreeMap::values)
     }
 }
--- /dev/null
+++ b/crates/rehearsal/src/store.rs
@@ -0,0 +1,324 @@
+//! A stand-in for the platform's store: rows in tables, transactions and a feed of changes.
+
+use base64::Engine;
+use base64::engine::general_purpose::STANDARD as BASE64;
+use bytes::Bytes;
+use http::{Method, Request, Response, StatusCode};
+use http_body_util::{BodyExt, Full};
+use hyper::body::Incoming;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use serde::Deserialize;
+use serde_json::{Value, json};
+use std::collections::BTreeMap;
+use std::io;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+use tokio::net::TcpListener;
+use tokio::sync::watch;
+
+/// How the store treats calls.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers.
+    Serve,
+    /// It refuses every call with 503.
+    Refuse,
+    /// It never answers.
+    Silent,
+    /// It answers after this many milliseconds.
+    Slow(u64),
+    /// It does writes and breaks the connection instead of answering.
+    LoseAnswers,
+}
+
+/// Table and key of a row.
+type RowKey = (String, String);
+
+#[derive(Debug)]
+struct Rows {
+    version: u64,
+    rows: BTreeMap<RowKey, (u64, String)>,
+    changes: Vec<(u64, RowKey, Option<String>)>,
+    history_from: u64,
+    mode: StoreMode,
+}
+
+/// A running store.
+#[derive(Debug)]
+pub struct Store {
+    addr: SocketAddr,
+    rows: Mutex<Rows>,
+    changed: watch::Sender<u64>,
+    started: Instant,
+}
+
+#[derive(Debug, Deserialize)]
+struct Transaction {
+    #[serde(default)]
+    expected_rev: Vec<Condition>,
+    #[serde(default)]
+    set_keys: Vec<Write>,
+    #[serde(default)]
+    remove: Vec<Removal>,
+}
+
+#[derive(Debug, Deserialize)]
+struct Condition {
+    table: String,
+    key: String,
+    ver: u64,
+}
+
+#[derive(Debug, Deserialize)]
+struct Write {
+    table: String,
+    key: String,
+    value: String,
+}
+
+#[derive(Debug, Deserialize)]
+struct Removal {
+    table: String,
+    key: String,
+}
+
+impl Store {
+    /// Binds an address and serves calls until the process ends.
+    ///
+    /// # Errors
+    ///
+    /// The error of the system when the address cannot be bound.
+    pub async fn bind(addr: SocketAddr) -> io::Result<Arc<Self>> {
+        let listener = TcpListener::bind(addr).await?;
+        let store = Arc::new(Self {
+            addr: listener.local_addr()?,
+            rows: Mutex::new(Rows {
+                version: 1,
+                rows: BTreeMap::new(),
+                changes: Vec::new(),
+                history_from: 0,
+                mode: StoreMode::Serve,
+            }),
+            changed: watch::channel(1).0,
+            started: Instant::now(),
+        });
+        tokio::spawn(Arc::clone(&store).accept(listener));
+        Ok(store)
+    }
+
+    /// Returns the address.
+    #[must_use]
+    pub const fn addr(&self) -> SocketAddr {
+        self.addr
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Rows> {
+        self.rows.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Sets how calls are treated.
+    pub fn set_mode(&self, mode: StoreMode) {
+        self.lock().mode = mode;
+    }
+
+    /// Writes a row, as the operator or a target does.
+    pub fn put(&self, table: &str, key: &str, content: &[u8]) {
+        let value = BASE64.encode(content);
+        self.write(table, key, Some(value));
+    }
+
+    /// Removes a row.
+    pub fn remove(&self, table: &str, key: &str) {
+        self.write(table, key, None);
+    }
+
+    /// Reads a row.
+    #[must_use]
+    pub fn get(&self, table: &str, key: &str) -> Option<Vec<u8>> {
+        let row_key = (table.to_owned(), key.to_owned());
+        let value = self.lock().rows.get(&row_key)?.1.clone();
+        BASE64.decode(value).ok()
+    }
+
+    /// Forgets all changes so far, so that watches have to read whole tables.
+    pub fn forget_history(&self) {
+        let mut rows = self.lock();
+        rows.history_from = rows.version;
+        rows.changes.clear();
+    }
+
+    fn write(&self, table: &str, key: &str, value: Option<String>) {
+        let mut rows = self.lock();
+        rows.version += 1;
+        rows.set(table, key, value);
+        let version = rows.version;
+        drop(rows);
+        self.changed.send_replace(version);
+    }
+
+    async fn accept(self: Arc<Self>, listener: TcpListener) {
+        while let Ok((stream, _)) = listener.accept().await {
+            let store = Arc::clone(&self);
+            tokio::spawn(async move {
+                let service = service_fn(move |request| Arc::clone(&store).answer(request));
+                let connection = hyper::server::conn::http1::Builder::new()
+                    .serve_connection(TokioIo::new(stream), service);
+                // An error is what a lost answer looks like.
+                connection.await.ok();
+            });
+        }
+    }
+
+    async fn answer(
+        self: Arc<Self>,
+        request: Request<Incoming>,
+    ) -> Result<Response<Full<Bytes>>, io::Error> {
+        let (head, body) = request.into_parts();
+        let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        let mode = self.lock().mode;
+        match mode {
+            StoreMode::Refuse => return Ok(reply(StatusCode::SERVICE_UNAVAILABLE, &json!({}))),
+            StoreMode::Silent => std::future::pending().await,
+            StoreMode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
+            StoreMode::Serve | StoreMode::LoseAnswers => {}
+        }
+        let query = head.uri.query().unwrap_or_default().to_owned();
+        let response = match (&head.method, head.uri.path()) {
+            (&Method::GET, "/v1/rows-get") => self.read(&query),
+            (&Method::GET, "/v1/rows-feed") => self.feed(&query).await,
+            (&Method::POST, "/v1/rows-tx") => self.commit(&body),
+            _ => reply(StatusCode::NOT_FOUND, &json!({})),
+        };
+        if mode == StoreMode::LoseAnswers && head.method == Method::POST {
+            return Err(io::Error::other("the answer is lost"));
+        }
+        Ok(response)
+    }
+
+    fn now(&self) -> String {
+        format!("{}ms", self.started.elapsed().as_millis())
+    }
+
+    fn read(&self, query: &str) -> Response<Full<Bytes>> {
+        let (table, from) = (field(query, "table"), field(query, "from"));
+        let rows = self.lock();
+        let found: Vec<Value> = rows
+            .rows
+            .range((table.clone(), from)..)
+            .take_while(|((of, _), _)| *of == table)
+            .map(|((table, key), (version, value))| {
+                json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
+            })
+            .collect();
+        let body = json!({
+            "rows": found, "has_more": false, "ver": rows.version, "now": self.now()
+        });
+        reply(StatusCode::OK, &body)
+    }
+
+    async fn feed(&self, query: &str) -> Response<Full<Bytes>> {
+        let table = field(query, "table");
+        let number = |name| field(query, name).parse::<u64>().unwrap_or(0);
+        let (after, wait_ms) = (number("after"), number("wait_ms"));
+        let until = tokio::time::Instant::now() + Duration::from_millis(wait_ms);
+        let mut changed = self.changed.subscribe();
+        loop {
+            let (rows, version) = {
+                let rows = self.lock();
+                if after < rows.history_from {
+                    return reply(StatusCode::GONE, &json!({}));
+                }
+                (rows.changes_after(&table, after), rows.version)
+            };
+            let is_over = tokio::time::Instant::now() >= until;
+            if !rows.is_empty() || is_over {
+                let body = json!({"rows": rows, "ver": version, "now": self.now()});
+                return reply(StatusCode::OK, &body);
+            }
+            // A time-out leads to the empty answer above.
+            tokio::time::timeout_at(until, changed.changed()).await.ok();
+        }
+    }
+
+    fn commit(&self, body: &[u8]) -> Response<Full<Bytes>> {
+        let Ok(transaction) = serde_json::from_slice::<Transaction>(body) else {
+            return reply(StatusCode::BAD_REQUEST, &json!({}));
+        };
+        let mut rows = self.lock();
+        let holds = transaction.expected_rev.iter().all(|condition| {
+            let key = (condition.table.clone(), condition.key.clone());
+            rows.rows.get(&key).map_or(0, |row| row.0) == condition.ver
+        });
+        if !holds {
+            return reply(StatusCode::PRECONDITION_FAILED, &json!({"rows": []}));
+        }
+        rows.version += 1;
+        for write in transaction.set_keys {
+            rows.set(&write.table, &write.key, Some(write.value));
+        }
+        for removal in transaction.remove {
+            rows.set(&removal.table, &removal.key, None);
+        }
+        let version = rows.version;
+        drop(rows);
+        self.changed.send_replace(version);
+        reply(StatusCode::OK, &json!({"ver": version, "now": self.now()}))
+    }
+}
+
+impl Rows {
+    /// Sets or removes a row at the version in force.
+    fn set(&mut self, table: &str, key: &str, value: Option<String>) {
+        let (version, key) = (self.version, (table.to_owned(), key.to_owned()));
+        match &value {
+            Some(value) => {
+                self.rows.insert(key.clone(), (version, value.clone()));
+            }
+            None => {
+                self.rows.remove(&key);
+            }
+        }
+        self.changes.push((version, key, value));
+    }
+
+    /// Lists the newest change of each row of a table after a version.
+    fn changes_after(&self, table: &str, after: u64) -> Vec<Value> {
+        let mut newest: BTreeMap<&str, (u64, &Option<String>)> = BTreeMap::new();
+        for (version, (of, key), value) in &self.changes {
+            if *version > after && of == table {
+                newest.insert(key, (*version, value));
+            }
+        }
+        let mut changes: Vec<_> = newest.into_iter().collect();
+        changes.sort_by_key(|(_, (version, _))| *version);
+        changes
+            .into_iter()
+            .map(|(key, (version, value))| match value {
+                Some(value) => {
+                    json!({"table": table, "part": "", "key": key, "value": value, "ver": version})
+                }
+                None => {
+                    json!({"table": table, "part": "", "key": key, "ver": version, "removed": true})
+                }
+            })
+            .collect()
+    }
+}
+
+fn reply(status: StatusCode, body: &Value) -> Response<Full<Bytes>> {
+    let mut response = Response::new(Full::from(body.to_string()));
+    *response.status_mut() = status;
+    response
+}
+
+/// Reads a field of a query; the stand-in's keys need no escapes but that of the slash.
+fn field(query: &str, name: &str) -> String {
+    query
+        .split('&')
+        .filter_map(|pair| pair.split_once('='))
+        .find(|(field, _)| *field == name)
+        .map(|(_, value)| value.replace("%2F", "/"))
+        .unwrap_or_default()
+}
--- /dev/null
+++ b/crates/steering/tests/choosing.rs
@@ -0,0 +1,207 @@
+//! Load figures, ranks, cold targets and what follows an attempt.
+
+use heatherhinge_orders::{Destination, TargetEntry, TargetPhase};
+use heatherhinge_steering::{
+    AttemptEnd, AttemptFacts, Fit, LoadFigure, NextStep, RoundSize, Split, Target, TargetCell,
+    TargetGroup, after_attempt, cost, fit, sample,
+};
+use heatherhinge_types::{MonoNs, Name};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::sync::Arc;
+use yare::parameterized;
+
+fn load(running: u32, waiting: u32, slowness_percent: u32) -> LoadFigure {
+    LoadFigure {
+        running,
+        waiting,
+        slots: 4,
+        slowness_percent,
+    }
+}
+
+fn target(number: u16) -> Arc<Target> {
+    Arc::new(Target {
+        entry: Arc::new(TargetEntry {
+            id: Name::from(format!("i-{number}")),
+            service: Name::new("orders"),
+            addr: ([127, 0, 0, 1], number).into(),
+            zone: Name::new("a"),
+            version: Name::new("v1"),
+            slots: 4,
+            phase: TargetPhase::Ready,
+            cold_ms: 0,
+            start_wall_ms: 1,
+        }),
+        health_path: Name::new("/health"),
+        cold_interval_ns: 1_000_000,
+        is_fed_here: false,
+        cell: Arc::new(TargetCell::default()),
+    })
+}
+
+// Guards against a malformed report being read as an idle target.
+#[parameterized(
+    full = { "3,1,8,700", Some((3, 1, 8, 700)) },
+    three = { "3,0,8", Some((3, 0, 8, 100)) },
+    spaces = { " 3, 0, 8, 120", Some((3, 0, 8, 120)) },
+    empty = { "", None },
+    two = { "3,0", None },
+    word = { "a,b,c", None },
+    negative = { "-1,0,8", None },
+    no_slots = { "0,0,0", None },
+)]
+fn load_reports_are_read(text: &str, expected: Option<(u32, u32, u32, u32)>) {
+    let read = text.parse::<LoadFigure>().ok();
+    let read = read.map(|load| {
+        (
+            load.running,
+            load.waiting,
+            load.slots,
+            load.slowness_percent,
+        )
+    });
+    assert_eq!(read, expected);
+}
+
+// Guards against sending to a slow or full target while an undisturbed one has room.
+#[parameterized(
+    idle = { load(0, 0, 100), 0, Fit::Good },
+    slow = { load(0, 0, 700), 0, Fit::Slow },
+    full = { load(4, 0, 100), 0, Fit::Queues },
+    queue = { load(3, 1, 100), 0, Fit::Queues },
+    troubled = { load(0, 0, 100), 150, Fit::Slow },
+)]
+fn targets_fit_by_their_load(load: LoadFigure, trouble: u32, expected: Fit) {
+    assert_eq!(fit(&load, trouble), expected);
+}
+
+#[test]
+fn costs_rise_with_load_and_slowness() {
+    let idle = cost(&load(0, 0, 100), 0);
+    let near_full = cost(&load(3, 0, 100), 0);
+    let full = cost(&load(4, 0, 100), 0);
+    let long_queue = cost(&load(4, 4, 100), 0);
+    let slow = cost(&load(0, 0, 700), 0);
+    assert!(idle < near_full && near_full < full && full < long_queue);
+    assert!(idle < slow);
+}
+
+// Guards against asking a target that was asked already, that is avoided, or that is cold and fed
+// by another host.
+#[test]
+fn samples_leave_out_targets_that_may_not_be_used() {
+    let now = MonoNs::from_ms(5_000);
+    let targets: Vec<Arc<Target>> = (1..=5).map(target).collect();
+    targets[1].cell.avoid_until(now.plus_ms(100));
+    targets[2].cell.set_cold(now, 1_000);
+    let group = TargetGroup {
+        near: targets.clone(),
+        far: Vec::new(),
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(1);
+    let size = RoundSize { near: 5, far: 0 };
+    let picked = sample(&group, &targets[..1], size, now, &mut rng);
+    let mut ids: Vec<&str> = picked.iter().map(|target| target.id().as_str()).collect();
+    ids.sort_unstable();
+    assert_eq!(ids, ["i-4", "i-5"]);
+}
+
+// Guards against an empty round where the host's own zone has too few targets.
+#[test]
+fn far_targets_make_up_for_missing_near_ones() {
+    let group = TargetGroup {
+        near: vec![target(1)],
+        far: (2..=6).map(target).collect(),
+    };
+    let mut rng = Pcg64Mcg::seed_from_u64(2);
+    let size = RoundSize { near: 3, far: 0 };
+    let picked = sample(&group, &[], size, MonoNs::from_ms(1), &mut rng);
+    assert_eq!(picked.len(), 3);
+}
+
+// Guards against more requests to a cold target than it bears: the sum over any second stays
+// within the rate and the burst.
+#[test]
+fn cold_tokens_bound_every_second() {
+    let cell = TargetCell::default();
+    let interval_ns = 200_000_000;
+    let mut taken = Vec::new();
+    for ms in 0..4_000 {
+        let now = MonoNs::from_ms(10_000 + ms);
+        if cell.take_cold_token(now, interval_ns, 1) {
+            taken.push(ms);
+        }
+    }
+    for start in 0..3_000 {
+        let count = taken
+            .iter()
+            .filter(|ms| (start..start + 1_000).contains(*ms))
+            .count();
+        assert!(count <= 6, "{count} in the second from {start} ms");
+    }
+}
+
+// Guards against a target that is never chosen again after one failure.
+#[test]
+fn trouble_fades() {
+    let cell = TargetCell::default();
+    let now = MonoNs::from_ms(1_000);
+    cell.fail(now);
+    let fresh = cell.trouble_percent(now);
+    assert!(fresh > 0);
+    assert!(cell.trouble_percent(now.plus_ms(2_500)) < fresh / 2);
+    assert_eq!(cell.trouble_percent(now.plus_ms(60_000)), 0);
+}
+
+// Guards against shares that are off their weights over a few hundred requests.
+#[test]
+fn splits_keep_to_their_weights() {
+    let part = |service: &str, weight| Destination {
+        service: Name::new(service),
+        weight,
+    };
+    let parts = [part("a", 90), part("b", 10)];
+    for seed in [0, 1, 99, u64::MAX - 50] {
+        let split = Split::new(seed);
+        let of_b = (0..300)
+            .filter(|_| split.next(&parts).is_some_and(|part| *part.service == *"b"))
+            .count();
+        assert!((24..=36).contains(&of_b), "{of_b} of 300 with seed {seed}");
+    }
+    assert!(Split::new(0).next(&[part("a", 0), part("b", 0)]).is_none());
+}
+
+fn facts(end: AttemptEnd, is_idempotent: bool, sends: u32, pending: usize) -> AttemptFacts {
+    AttemptFacts {
+        end,
+        is_idempotent,
+        sends,
+        misses: 1,
+        max_sends: 2,
+        pending,
+    }
+}
+
+const AGAIN: NextStep = NextStep::TryAgain {
+    draws_on_budget: true,
+};
+
+// Guards against a second run of an at-most-once request, and against more sends than the route
+// allows.
+#[parameterized(
+    answered = { facts(AttemptEnd::Answered, false, 1, 0), NextStep::Deliver },
+    broke_idempotent = { facts(AttemptEnd::Broke, true, 1, 0), AGAIN },
+    broke_once = { facts(AttemptEnd::Broke, false, 1, 0), NextStep::End },
+    failed_idempotent = { facts(AttemptEnd::Failed, true, 1, 0), AGAIN },
+    failed_once = { facts(AttemptEnd::Failed, false, 1, 0), NextStep::End },
+    not_run_once = { facts(AttemptEnd::NotRun, false, 1, 0), AGAIN },
+    last_send = { facts(AttemptEnd::Broke, true, 2, 0), NextStep::End },
+    last_not_run = { facts(AttemptEnd::NotRun, false, 2, 0), NextStep::End },
+    other_under_way = { facts(AttemptEnd::Failed, true, 1, 1), NextStep::Await },
+    never_sent = { facts(AttemptEnd::NeverSent, false, 0, 0), NextStep::TryAgain { draws_on_budget: false } },
+    unplaced = { facts(AttemptEnd::Unplaced, true, 0, 0), NextStep::End },
+)]
+fn steps_after_an_attempt(facts: AttemptFacts, expected: NextStep) {
+    assert_eq!(after_attempt(&facts), expected);
+}
--- /dev/null
+++ b/crates/steering/tests/common/mod.rs
@@ -0,0 +1,43 @@
+//! Builders that several tests share.
+
+#![allow(dead_code)] // Each test file uses some of them.
+
+use heatherhinge_steering::{BeatId, FleetView, HostStage, HostState, MoveState};
+use heatherhinge_types::Name;
+
+pub(crate) fn host(number: u8, zone: &str) -> HostState {
+    HostState {
+        host: Name::from(format!("host-{number}")),
+        id: BeatId {
+            incarnation: 1_000,
+            beat: 1,
+        },
+        revision: 0,
+        caller_addr: ([127, 0, 0, number], 80).into(),
+        peer_addr: ([127, 0, 0, number], 81).into(),
+        zone: Name::new(zone),
+        stage: HostStage::Ready,
+        requests_per_s: 10,
+        capacity_milli: 200,
+        moves: Vec::new(),
+        crashes: Vec::new(),
+    }
+}
+
+pub(crate) fn fleet(count: u8) -> FleetView {
+    let live: Vec<HostState> = (1..=count).map(|number| host(number, "a")).collect();
+    FleetView {
+        known: live.len(),
+        live,
+    }
+}
+
+pub(crate) fn with_moves(mut fleet: FleetView, moves: &[(u8, MoveState)]) -> FleetView {
+    for (number, state) in moves {
+        let name = format!("host-{number}");
+        if let Some(host) = fleet.live.iter_mut().find(|host| *host.host == *name) {
+            host.moves.push(state.clone());
+        }
+    }
+    fleet
+}
--- /dev/null
+++ b/crates/steering/tests/fleet.rs
@@ -0,0 +1,161 @@
+//! Membership, duties, addresses, crashes and planned stops.
+
+mod common;
+
+use common::{fleet, host};
+use heatherhinge_steering::{
+    BeatId, CrashTally, CrashWatch, DrainNext, HostStage, Membership, addresses, drain_next,
+    duty_holders, place,
+};
+use heatherhinge_types::{MonoNs, Name};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use std::collections::BTreeMap;
+use yare::parameterized;
+
+fn live_names(membership: &Membership, now: MonoNs) -> Vec<String> {
+    let view = membership.view(now);
+    view.live.iter().map(|host| host.host.to_string()).collect()
+}
+
+// Guards against a dead host that stays in address answers, and against a live one that leaves
+// them because only its beats arrive.
+#[test]
+fn hosts_live_as_long_as_their_beats_arrive() {
+    let start = MonoNs::from_ms(1_000);
+    let mut here = Membership::new(host(1, "a"), start);
+    here.hear(host(2, "a"), start);
+    here.hear(host(3, "a"), start);
+    let mut there = Membership::new(host(2, "a"), start);
+    for beat in 2..=12 {
+        let now = start.plus_ms(u64::from(beat) * 300);
+        let mut state = host(2, "a");
+        state.id.beat = beat;
+        there.set_own(state, now);
+        let (states, beats) = there.newer_than(&here.digest());
+        assert!(states.is_empty(), "an unchanged state is told as a beat");
+        for beat in beats {
+            here.hear_beat(beat, now);
+        }
+    }
+    let end = start.plus_ms(3_700);
+    assert_eq!(live_names(&here, end), ["host-1", "host-2"]);
+}
+
+// Guards against the state of a process that has ended being taken for that of its successor.
+#[test]
+fn a_restart_replaces_the_state() {
+    let start = MonoNs::from_ms(1_000);
+    let mut here = Membership::new(host(1, "a"), start);
+    let mut old = host(2, "a");
+    old.id.beat = 900;
+    here.hear(old.clone(), start);
+    let mut new = host(2, "a");
+    new.id = BeatId {
+        incarnation: 2_000,
+        beat: 1,
+    };
+    assert!(here.hear(new, start));
+    assert!(!here.hear(old, start));
+}
+
+// Guards against hosts that never find each other again after a network partition.
+#[test]
+fn silent_hosts_are_asked_again() {
+    let start = MonoNs::from_ms(1_000);
+    let mut here = Membership::new(host(1, "a"), start);
+    here.hear(host(2, "a"), start);
+    let later = start.plus_ms(10_000);
+    let mut rng = Pcg64Mcg::seed_from_u64(3);
+    assert!(here.partners(2, later, &mut rng).is_empty());
+    assert_eq!(
+        here.lost_lead(later, &mut rng),
+        Some(host(2, "a").peer_addr)
+    );
+}
+
+// Guards against hosts with the same view that disagree on a duty, and against one host that has
+// far more duties than the others.
+#[test]
+fn duties_have_one_first_holder_each() {
+    let view = fleet(10);
+    let mut held: BTreeMap<String, u32> = BTreeMap::new();
+    for duty in 0..500 {
+        let duty = format!("i-{duty}");
+        let first: Vec<&Name> = view
+            .live
+            .iter()
+            .map(|host| &host.host)
+            .filter(|host| place(&duty, host, &view) == Some(0))
+            .collect();
+        assert_eq!(first.len(), 1, "{duty}");
+        *held.entry(first[0].to_string()).or_default() += 1;
+    }
+    assert!(
+        held.values().all(|count| (20..=90).contains(count)),
+        "{held:?}"
+    );
+}
+
+// Guards against a small or leaving host that reads the store for a large fleet.
+#[test]
+fn large_hosts_come_first_for_common_duties() {
+    let mut view = fleet(10);
+    view.live[3].capacity_milli = 500;
+    view.live[4].capacity_milli = 500;
+    view.live[4].stage = HostStage::Leaving;
+    let holders = duty_holders("store", 2, &view);
+    assert_eq!(*holders[0].host, *"host-4");
+    assert!(holders.iter().all(|host| *host.host != *"host-5"));
+}
+
+// Guards against callers that are sent to another zone, or that are given one address only.
+#[test]
+fn addresses_prefer_the_callers_zone() {
+    let mut view = fleet(6);
+    for host in &mut view.live[3..] {
+        host.zone = Name::new("b");
+    }
+    view.live[5].stage = HostStage::Starting;
+    let mut rng = Pcg64Mcg::seed_from_u64(4);
+    let near = addresses(&view, Some("a"), &mut rng);
+    assert_eq!(near.len(), 3);
+    assert!(
+        near.iter()
+            .all(|addr| view.live[..3].iter().any(|h| h.caller_addr == *addr))
+    );
+    let few = addresses(&view, Some("b"), &mut rng);
+    assert_eq!(few.len(), 3);
+    assert!(!few.contains(&view.live[5].caller_addr));
+}
+
+// Guards against one host that waits for all crashes of a request itself.
+#[test]
+fn crashes_are_summed_over_hosts() {
+    let mut watch = CrashWatch::default();
+    let now = MonoNs::from_ms(1_000);
+    let own = Name::new("host-1");
+    watch.count(7, now);
+    let mut view = fleet(2);
+    assert!(watch.held_back(&own, &view).is_empty());
+    view.live[1].crashes.push(CrashTally {
+        digest: 7,
+        crashes: 1,
+    });
+    assert!(watch.held_back(&own, &view).contains(&7));
+}
+
+// Guards against a host that exits while requests are in flight, and against one that outlives
+// its grace period.
+#[parameterized(
+    fresh = { 0, 5, DrainNext::Serve },
+    idle_but_named = { 2_900, 0, DrainNext::Serve },
+    idle = { 3_000, 0, DrainNext::Exit },
+    busy = { 3_000, 2, DrainNext::Finish },
+    late = { 5_700, 2, DrainNext::Exit },
+)]
+fn planned_stops(elapsed_ms: u64, in_flight: u64, expected: DrainNext) {
+    let start = MonoNs::from_ms(1_000);
+    let next = drain_next(start, start.plus_ms(elapsed_ms), 6_000, in_flight);
+    assert_eq!(next, expected);
+}
--- /dev/null
+++ b/crates/steering/tests/moves.rs
@@ -0,0 +1,205 @@
+//! Version moves: shares, judgements and reports.
+
+mod common;
+
+use common::{fleet, with_moves};
+use heatherhinge_orders::MoveOrder;
+use heatherhinge_steering::{
+    MoveControl, MoveEffect, MoveGauge, MoveReport, MoveSample, MoveStage, MoveState,
+    ReportedState, RouteTally, Side, Tally, Verdict, judge,
+};
+use heatherhinge_types::{MonoNs, Name};
+use std::collections::BTreeMap;
+use yare::parameterized;
+
+const ORDER_VERSION: u64 = 40;
+
+fn order() -> MoveOrder {
+    MoveOrder {
+        service: Name::new("orders"),
+        to: Name::new("v2"),
+        duration_ms: 15_000,
+    }
+}
+
+fn tally(answers: u32, bad: u32, slow: u32) -> Tally {
+    Tally { answers, bad, slow }
+}
+
+fn route(name: &str, current: Tally, moving: Tally) -> RouteTally {
+    RouteTally {
+        route: Name::new(name),
+        current,
+        moving,
+    }
+}
+
+// Guards against bad versions that are not seen, on one route only too, and against good ones
+// taken for bad because all targets have trouble.
+#[parameterized(
+    few = { vec![route("r", tally(100, 0, 0), tally(5, 1, 0))], Verdict::Unclear },
+    good = { vec![route("r", tally(500, 2, 3), tally(60, 1, 1))], Verdict::Good },
+    errors = { vec![route("r", tally(100, 0, 0), tally(12, 6, 0))], Verdict::Bad },
+    slow = { vec![route("r", tally(100, 0, 1), tally(15, 0, 7))], Verdict::Bad },
+    one_route = { vec![route("r", tally(900, 2, 0), tally(200, 1, 0)), route("s", tally(90, 0, 0), tally(12, 5, 0))], Verdict::Bad },
+    all_troubled = { vec![route("r", tally(300, 60, 0), tally(40, 9, 0))], Verdict::Good },
+    few_references = { vec![route("r", tally(0, 0, 0), tally(30, 1, 0))], Verdict::Good },
+)]
+fn versions_are_judged(tallies: Vec<RouteTally>, expected: Verdict) {
+    assert_eq!(judge(tallies.iter()), expected);
+}
+
+// Guards against an unproven version that gets more than a tenth of all requests, in any stage
+// before it is found good.
+#[test]
+fn exposure_stays_within_its_share() {
+    let gauge = MoveGauge::new(order(), ORDER_VERSION, &[]);
+    let mut moved = 0_u32;
+    for total in 1..=4_000_u32 {
+        if total == 1_500 {
+            gauge.set_stage(MoveStage::Ramp);
+        }
+        moved += u32::from(gauge.choose_side() == Side::Moving);
+        assert!(moved * 10 <= total + 20, "{moved} of {total}");
+    }
+    assert!(moved > 250, "{moved}: the ramp spends the savings");
+    gauge.set_stage(MoveStage::RolledBack);
+    assert!((0..100).all(|_| gauge.choose_side() == Side::Current));
+}
+
+fn control(now: MonoNs) -> MoveControl {
+    let mut control = MoveControl::default();
+    let orders = BTreeMap::from([(Name::new("orders"), (ORDER_VERSION, order()))]);
+    control.set_orders(&orders, &[Name::new("r")], now);
+    control
+}
+
+fn state(stage: MoveStage, current_in_flight: u32, routes: Vec<RouteTally>) -> MoveState {
+    MoveState {
+        service: Name::new("orders"),
+        order_version: ORDER_VERSION,
+        stage,
+        elapsed_ms: 0,
+        is_reported: false,
+        current_in_flight,
+        routes,
+    }
+}
+
+fn stage(control: &MoveControl) -> MoveStage {
+    control.gauges()["orders"].stage()
+}
+
+fn reports(effects: &[MoveEffect]) -> Vec<ReportedState> {
+    effects
+        .iter()
+        .filter_map(|effect| match effect {
+            MoveEffect::WriteReport { state, .. } => Some(*state),
+            _ => None,
+        })
+        .collect()
+}
+
+// Guards against a verdict that rests on one host's answers where the fleet's show the fault.
+#[test]
+fn the_fleets_answers_take_a_move_back() {
+    let start = MonoNs::from_ms(1_000);
+    let own = Name::new("host-1");
+    let mut control = control(start);
+    let part = || vec![route("r", tally(30, 0, 0), tally(4, 2, 0))];
+    let peers: Vec<(u8, MoveState)> = (2..=5)
+        .map(|number| (number, state(MoveStage::Canary, 1, part())))
+        .collect();
+    control.step(&own, &with_moves(fleet(5), &peers[..1]), start.plus_ms(500));
+    assert_eq!(stage(&control), MoveStage::Canary);
+    control.step(&own, &with_moves(fleet(5), &peers), start.plus_ms(800));
+    assert_eq!(stage(&control), MoveStage::RolledBack);
+}
+
+/// Steps a host that is alone until `until_ms` after the order and returns what it reported.
+fn run_alone(control: &mut MoveControl, start: MonoNs, until_ms: u64) -> Vec<ReportedState> {
+    let own = Name::new("host-1");
+    let mut written = Vec::new();
+    let mut version = ORDER_VERSION + 1;
+    for ms in (0..=until_ms).step_by(150) {
+        let now = start.plus_ms(ms);
+        for effect in control.step(&own, &fleet(1), now) {
+            match effect {
+                MoveEffect::ReadReport(service) => control.set_report(&service, None, now),
+                MoveEffect::WriteReport {
+                    service, to, state, ..
+                } => {
+                    written.push(state);
+                    version += 1;
+                    control.set_report(&service, Some(MoveReport { to, state, version }), now);
+                }
+                MoveEffect::Note { .. } => {}
+            }
+        }
+    }
+    written
+}
+
+// Guards against a good move that is not reported before its time is over.
+#[test]
+fn a_good_move_completes_in_time() {
+    let start = MonoNs::from_ms(1_000);
+    let mut control = control(start);
+    let gauge = std::sync::Arc::clone(&control.gauges()["orders"]);
+    for _ in 0..60 {
+        gauge.count(&Name::new("r"), Side::Current, MoveSample::Good(80_000));
+        gauge.count(&Name::new("r"), Side::Moving, MoveSample::Good(82_000));
+    }
+    let written = run_alone(&mut control, start, 14_000);
+    assert_eq!(written, [ReportedState::Running, ReportedState::Completed]);
+    assert_eq!(stage(&control), MoveStage::Completed);
+}
+
+// Guards against a version that is called good without any answers.
+#[test]
+fn a_move_without_answers_is_not_completed() {
+    let start = MonoNs::from_ms(1_000);
+    let mut control = control(start);
+    let written = run_alone(&mut control, start, 20_000);
+    assert_eq!(written, [ReportedState::Running]);
+}
+
+// Guards against old targets that are stopped while a host still has requests there.
+#[test]
+fn completion_waits_for_requests_at_the_old_version() {
+    let start = MonoNs::from_ms(1_000);
+    let own = Name::new("host-1");
+    let mut control = control(start);
+    control.set_report(&Name::new("orders"), None, start);
+    let busy = with_moves(fleet(2), &[(2, state(MoveStage::Shift, 3, Vec::new()))]);
+    let left = with_moves(fleet(2), &[(2, state(MoveStage::Shift, 0, Vec::new()))]);
+    let mut written = Vec::new();
+    for ms in (0..4_000).step_by(150) {
+        written.extend(reports(&control.step(&own, &busy, start.plus_ms(ms))));
+    }
+    assert!(!written.contains(&ReportedState::Completed));
+    for ms in (4_000..6_000).step_by(150) {
+        written.extend(reports(&control.step(&own, &left, start.plus_ms(ms))));
+    }
+    assert!(written.contains(&ReportedState::Completed));
+}
+
+// Guards against a restarted host that begins a finished move anew.
+#[test]
+fn the_stored_report_decides() {
+    let start = MonoNs::from_ms(1_000);
+    let mut control = control(start);
+    let report = |state, version| MoveReport {
+        to: Name::new("v2"),
+        state,
+        version,
+    };
+    let service = Name::new("orders");
+    // A report that is older than the order belongs to an earlier move.
+    let earlier = report(ReportedState::RolledBack, ORDER_VERSION - 5);
+    control.set_report(&service, Some(earlier), start);
+    assert_eq!(stage(&control), MoveStage::Canary);
+    let ours = report(ReportedState::RolledBack, ORDER_VERSION + 5);
+    control.set_report(&service, Some(ours), start);
+    assert_eq!(stage(&control), MoveStage::RolledBack);
+}
