Ask all seeds while starting and use a subset of a large service's targets

Cause: after all hosts lost power the seeds were ready 0.1 s after their start and the others 0.8 s later: their exchange with a seed without power blocked the one that may bring orders, and they asked one seed every 300 ms. On the grown sites a host kept connections to all targets of its zone.

A starting host steps every 60 ms and asks all seeds, opening a connection takes 250 ms at most, and a host without orders asks several others. Each host uses 24 near and 24 far targets of a service, chosen by hash.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -25,14 +25,17 @@
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 use tokio::sync::{mpsc, oneshot, watch};
-use tokio::time::MissedTickBehavior;
+use tokio::time::{Instant, sleep_until};
 
 /// Time between two steps of the controllers.
 const TICK: Duration = Duration::from_millis(150);
+/// Time between two steps until the host takes callers. All hosts may have lost power at once, and
+/// callers wait.
+const START_TICK: Duration = Duration::from_millis(60);
 /// Steps between exchanges with other hosts.
 const TICKS_PER_SYNC: u64 = 2;
-/// Time between exchanges with other hosts, in milliseconds.
-const SYNC_INTERVAL_MS: u64 = 300;
+/// Shortest time over which requests are counted for a rate, in milliseconds.
+const COUNT_INTERVAL_MS: u64 = 250;
 /// Hosts that are told at once of new orders. Each of them tells as many others.
 const TOLD_OF_ORDERS: usize = 4;
 /// Time after its start for which a host learns from others before it asks the store, in
@@ -90,6 +93,7 @@
     store_duty: StoreDuty,
     requests_per_s: u32,
     requests_before: u64,
+    counted_at: MonoNs,
     stop_since: Option<MonoNs>,
 }
 
@@ -124,6 +128,7 @@
             store_duty,
             requests_per_s: 0,
             requests_before: 0,
+            counted_at: started,
             stop_since: None,
             parts,
         }
@@ -135,15 +140,16 @@
         mut events: mpsc::Receiver<GatewayEvent>,
         exit: oneshot::Sender<()>,
     ) {
-        let mut tick = tokio::time::interval(TICK);
-        tick.set_missed_tick_behavior(MissedTickBehavior::Delay);
+        let mut next_tick = Instant::now();
         loop {
             tokio::select! {
                 Some(event) = events.recv() => self.take(event),
-                _ = tick.tick() => {
+                () = sleep_until(next_tick) => {
                     if self.tick() == DrainNext::Exit {
                         break;
                     }
+                    let is_starting = self.parts.board.stage() == HostStage::Starting;
+                    next_tick = Instant::now() + if is_starting { START_TICK } else { TICK };
                 }
             }
         }
@@ -231,6 +237,7 @@
             Err(error) => tracing::debug!(%table, "store: {error}"),
         }
         self.read_store(now);
+        self.check_ready(now);
     }
 
     fn apply(&mut self, table: StoredTable, update: &TableUpdate) {
@@ -392,6 +399,7 @@
         if let Some(update) = answer.targets {
             self.apply_targets(&update);
         }
+        self.check_ready(now);
     }
 
     /// Makes the state that the others are told, with a new revision if its content is new.
@@ -434,9 +442,13 @@
         if self.target_control.expire(now) {
             self.publish_targets();
         }
-        if self.ticks.is_multiple_of(TICKS_PER_SYNC) {
+        let is_starting = self.parts.board.stage() == HostStage::Starting;
+        if is_starting || self.ticks.is_multiple_of(TICKS_PER_SYNC) {
             self.sync(now);
         }
+        if is_starting {
+            self.ask_seeds();
+        }
         self.step_moves(now);
         self.read_store(now);
         self.drain(now)
@@ -450,6 +462,9 @@
         let has_waited = now.ms_since(self.started) >= START_WAIT_MS;
         if !self.target_control.is_empty() || has_waited {
             board.set_stage(HostStage::Ready);
+            // Tells the others, and lets the directory name this host.
+            self.sync(now);
+            let board = &self.parts.board;
             tracing::info!(
                 routes_version = board.routes.read().value.version,
                 targets = self.target_control.len(),
@@ -460,7 +475,7 @@
 
     fn sync(&mut self, now: MonoNs) {
         self.beat += 1;
-        self.count_requests();
+        self.count_requests(now);
         let own = self.own_state(now);
         self.membership.set_own(own.clone(), now);
         self.membership.forget_silent(now);
@@ -501,6 +516,15 @@
         }
     }
 
+    /// Asks the hosts that the settings name, which read the store first.
+    fn ask_seeds(&mut self) {
+        let own = self.parts.settings.peer_addr;
+        let seeds = self.parts.settings.seeds.clone();
+        for addr in seeds.into_iter().filter(|addr| *addr != own) {
+            self.ask(addr);
+        }
+    }
+
     /// Returns the addresses of the other hosts that read the store for the fleet.
     fn other_readers(&self) -> Vec<SocketAddr> {
         let fleet = self.parts.board.fleet.read();
@@ -527,7 +551,7 @@
         let Some(own) = &self.told else {
             return;
         };
-        let wants_orders = !self.orders_asked;
+        let wants_orders = !self.orders_asked || self.orders.version() == 0;
         self.orders_asked = true;
         let board = &self.parts.fleet_board;
         let request = board.request(own.clone(), wants_orders, self.parts.clock.mono_ns());
@@ -535,11 +559,16 @@
     }
 
     /// Measures the requests a second since the last exchange, smoothed over about two seconds.
-    fn count_requests(&mut self) {
+    fn count_requests(&mut self, now: MonoNs) {
         let total = self.parts.board.counts.requests.load(Ordering::Relaxed);
         let new = total.saturating_sub(self.requests_before);
+        let passed_ms = now.ms_since(self.counted_at);
+        if passed_ms < COUNT_INTERVAL_MS {
+            return;
+        }
+        self.counted_at = now;
         self.requests_before = total;
-        let rate = new * 1_000 / SYNC_INTERVAL_MS;
+        let rate = new * 1_000 / passed_ms;
         let smoothed = (u64::from(self.requests_per_s) * 7 + rate).div_ceil(8);
         self.requests_per_s = u32::try_from(smoothed).unwrap_or(u32::MAX);
     }
--- a/crates/gateway/src/fleet_service.rs
+++ b/crates/gateway/src/fleet_service.rs
@@ -29,6 +29,8 @@
 /// Longest time for an exchange that may bring orders. A configuration of some hundred kilobytes
 /// takes most of a second over the link of a small host.
 const ORDERS_SYNC_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Longest time to open a connection. A host without power does not answer, and others may.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(250);
 /// Stands for a version of the orders to which nothing is newer: the asking host wants none.
 pub(crate) const NO_ORDERS: u64 = u64::MAX;
 /// Longest time that sent bytes may stay unacknowledged.
@@ -183,7 +185,7 @@
     }
 
     async fn open(&self, addr: SocketAddr) -> io::Result<FleetServiceClient> {
-        let stream = TcpStream::connect(addr).await?;
+        let stream = timeout(CONNECT_TIMEOUT, TcpStream::connect(addr)).await??;
         prepare(&stream)?;
         let transport = serde_transport::new(Framed::new(stream, framing()), Bincode::default());
         let stub = FleetServiceClient::new(Config::default(), transport).spawn();
--- a/crates/rehearsal/src/deployment.rs
+++ b/crates/rehearsal/src/deployment.rs
@@ -131,21 +131,16 @@
     pub async fn add_target(&mut self, version: &str) -> eyre::Result<()> {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         let any: SocketAddr = ([127, self.plan.net, SERVERS, 1], 0).into();
-        let mut spec = TargetSpec {
+        let spec = TargetSpec {
             id: format!("i-{number:04}"),
             service: "desk".to_owned(),
             zone: ["zone-a", "zone-b"][usize::try_from(number % 2)?].to_owned(),
             version: version.to_owned(),
-            registered_addr: None,
             work_ms: self.plan.work_ms,
         };
-        // The link's address is registered, so it is bound first and told the target's address.
-        let listener = std::net::TcpListener::bind(any)?;
-        let target_addr = listener.local_addr()?;
-        drop(listener);
-        let link = Link::bind(any, target_addr).await?;
-        spec.registered_addr = Some(link.addr());
-        let target = Target::bind(target_addr, spec, Arc::clone(&self.ledger)).await?;
+        let target = Target::bind(any, spec, Arc::clone(&self.ledger)).await?;
+        let link = Link::bind(any, target.addr()).await?;
+        target.set_registered_addr(link.addr());
         self.targets.push(Linked {
             target,
             link,
--- a/crates/rehearsal/src/target.rs
+++ b/crates/rehearsal/src/target.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, PoisonError};
+use std::sync::{Arc, Mutex, OnceLock, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -53,8 +53,6 @@
     pub zone: String,
     /// Version of its software.
     pub version: String,
-    /// Address that it registers; that of a link in front of it, or its own if `None`.
-    pub registered_addr: Option<SocketAddr>,
     /// Time that a request takes in milliseconds.
     pub work_ms: u64,
 }
@@ -67,6 +65,7 @@
 pub struct Target {
     spec: TargetSpec,
     addr: SocketAddr,
+    registered_addr: OnceLock<SocketAddr>,
     ledger: Arc<Ledger>,
     mode: Mutex<TargetMode>,
     running: AtomicU32,
@@ -90,6 +89,7 @@
         let target = Arc::new(Self {
             spec,
             addr: listener.local_addr()?,
+            registered_addr: OnceLock::new(),
             ledger,
             mode: Mutex::new(TargetMode::Serve),
             running: AtomicU32::new(0),
@@ -113,6 +113,11 @@
         &self.spec
     }
 
+    /// Sets the address that it registers, that of a link in front of it. The first call counts.
+    pub fn set_registered_addr(&self, addr: SocketAddr) {
+        self.registered_addr.set(addr).ok();
+    }
+
     /// Sets how requests are treated.
     pub fn set_mode(&self, mode: TargetMode) {
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
@@ -131,7 +136,7 @@
         };
         let entry = json!({
             "service": self.spec.service, "zone": self.spec.zone, "version": self.spec.version,
-            "address": self.spec.registered_addr.unwrap_or(self.addr), "slots": SLOTS,
+            "address": self.registered_addr.get().unwrap_or(&self.addr), "slots": SLOTS,
             "state": state, "cold_remaining": "0ms", "sequence": sequence, "born": 1,
         });
         store.put("servers", &self.spec.id, entry.to_string().as_bytes());
--- a/crates/steering/src/target_control.rs
+++ b/crates/steering/src/target_control.rs
@@ -4,13 +4,17 @@
     FleetView, MoveGauge, ServicePool, Target, TargetCell, TargetGroup, TargetTable, place,
 };
 use heatherhinge_orders::{RouteTable, ServiceSpec, TargetEntry, TargetPhase};
-use heatherhinge_types::{MonoNs, Name};
+use heatherhinge_types::{Digest, MonoNs, Name};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
 
 /// Share of what a cold target bears that one feeding host uses, in percent. Hosts with different
 /// views may both feed a target for a moment, and both together stay within the bound.
 const COLD_USED_PERCENT: u64 = 70;
+/// Targets of a service that a host uses in its own zone, and in all others together. With a
+/// hundred hosts each target is still used by several, and a host's connections and their buffers
+/// do not grow with the number of targets.
+const SUBSET_SIZE: usize = 24;
 /// Time without a fresh copy of the registrations from which entries may have lapsed because
 /// their targets could not renew them, in milliseconds.
 const OUTAGE_MS: u64 = 2_000;
@@ -134,6 +138,12 @@
             };
             add(group, known, spec, inputs);
         }
+        for pool in pools.values_mut() {
+            for group in [&mut pool.current, &mut pool.moving] {
+                keep_subset(&mut group.near, inputs.host);
+                keep_subset(&mut group.far, inputs.host);
+            }
+        }
         TargetTable {
             stored_version,
             pools: pools
@@ -160,6 +170,19 @@
     }
 }
 
+/// Keeps the targets of a zone that this host uses. Targets that it feeds while they are cold
+/// stay in any case.
+fn keep_subset(targets: &mut Vec<Arc<Target>>, host: &Name) {
+    if targets.len() <= SUBSET_SIZE {
+        return;
+    }
+    targets.sort_by_cached_key(|target| {
+        let weight = Digest::of_parts(&[host.as_bytes(), target.id().as_bytes()]).0;
+        (!target.is_fed_here, weight)
+    });
+    targets.truncate(SUBSET_SIZE);
+}
+
 /// Returns the time between requests to a cold target, in nanoseconds.
 fn cold_interval_ns(spec: &ServiceSpec) -> u64 {
     let milli_per_s = spec.cold_milli_per_s * COLD_USED_PERCENT / 100;
