--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -13,8 +13,8 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, AttemptFacts, HostStage, MoveSample, NextStep, RouteStat, Side, SteeringBoard,
-    Target, USUAL_SLOWNESS_PERCENT, after_attempt,
+    AttemptEnd, AttemptFacts, HostStage, LineKind, MoveSample, NextStep, RouteStat, Side,
+    SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
 };
 use heatherhinge_types::{Code, MonoNs, Name};
 use http::{HeaderValue, Request, Response};
@@ -104,7 +104,7 @@
         let call = read.inspect_err(|code| self.log_unread(id.as_ref(), *code))?;
         let mut story = Story::new(&call, &self.board);
         let result = self.run(&call, &mut story).await;
-        story.finish(&result, self.clock.mono_ns());
+        story.finish(&self.board, &result, self.clock.mono_ns());
         match &result {
             Ok(_) => &self.board.counts.delivered,
             Err(code) if code.ran() == heatherhinge_types::Ran::No => &self.board.counts.refused,
@@ -116,12 +116,15 @@
 
     fn log_unread(&self, id: Option<&HeaderValue>, code: Code) {
         self.board.counts.refused.fetch_add(1, Ordering::Relaxed);
+        if !self.board.log.take(LineKind::Trouble, self.clock.mono_ns()) {
+            return;
+        }
         let id = id.and_then(|id| id.to_str().ok()).unwrap_or("-");
         tracing::info!(
             request_id = id,
             code = code.number(),
             routes_version = self.board.routes.read().value.version,
-            "gateway: refused unread: {}",
+            "request: refused unread: {}",
             code.text()
         );
     }
@@ -279,7 +282,10 @@
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(number));
         async move {
+            let began = self.clock.mono_ns();
             let placed = self.placer.place(call, &tried, standard, &mut rng).await;
+            let took_ms = self.clock.mono_ns().ms_since(began);
+            self.board.placement_ms.count(took_ms);
             let mut placed = match placed {
                 Ok(placed) => placed,
                 Err(code) => return Attempted::unplaced(code.text()),
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -10,7 +10,7 @@
 use crate::links::Links;
 use crate::placement::Placer;
 use crate::probe::Prober;
-use crate::{GatewaySettings, Platform};
+use crate::{GatewaySettings, Platform, metrics};
 use axum::Router;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{BeatId, HostStage, HostState, Membership, SteeringBoard};
@@ -143,6 +143,7 @@
         ));
         tokio::spawn(serve_router(readiness, readiness_router));
         tokio::spawn(serve_router(directory, directory_router));
+        tokio::spawn(serve_metrics(settings.metrics_addr, Arc::clone(&board)));
         tokio::spawn(fleet_service::serve(peers, Arc::clone(&fleet_board), clock));
 
         let io = Io {
@@ -174,6 +175,18 @@
     }
 }
 
+/// Serves the metrics. A host works without them, so an address that cannot be bound is only
+/// logged.
+async fn serve_metrics(addr: SocketAddr, board: Arc<SteeringBoard>) {
+    match TcpListener::bind(addr).await {
+        Ok(listener) => {
+            let page = axum::routing::get(move || async move { metrics::render(&board) });
+            serve_router(listener, Router::new().route("/metrics", page)).await;
+        }
+        Err(error) => tracing::warn!(%addr, "metrics: none are served: {error}"),
+    }
+}
+
 impl GatewayHandle {
     /// Begins a planned stop.
     pub fn stop(&self) {
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -20,6 +20,7 @@
 mod intake;
 mod io;
 mod links;
+mod metrics;
 mod placement;
 mod platform;
 mod probe;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -19,6 +19,8 @@
     pub directory_addr: SocketAddr,
     /// Address for other hosts.
     pub peer_addr: SocketAddr,
+    /// Address for metrics.
+    pub metrics_addr: SocketAddr,
     /// Addresses of some other hosts; they may be out of date.
     pub seeds: Vec<SocketAddr>,
     /// Budget for sending requests once more.
--- a/crates/steering/src/board.rs
+++ b/crates/steering/src/board.rs
@@ -1,6 +1,8 @@
 //! The blackboard of an entry host on a platform.
 
-use crate::{FleetView, HostStage, ProbeBudget, RetryBudget, RouteStat, TargetTable};
+use crate::{
+    FleetView, HostStage, Latency, LogBudget, ProbeBudget, RetryBudget, RouteStat, TargetTable,
+};
 use heatherhinge_blackboard::{Reader, Writer, entry};
 use heatherhinge_orders::RouteTable;
 use heatherhinge_types::Name;
@@ -54,6 +56,12 @@
     pub route_stats: Reader<BTreeMap<Name, Arc<RouteStat>>>,
     /// Load probes that may be spent.
     pub probes: ProbeBudget,
+    /// Log lines that may be written.
+    pub log: LogBudget,
+    /// Time from a request's arrival to its answer.
+    pub answer_ms: Latency,
+    /// Time that it takes to find a target.
+    pub placement_ms: Latency,
     /// Counts.
     pub counts: Counts,
     stage: AtomicU8,
@@ -96,6 +104,9 @@
             budgets,
             route_stats,
             probes: ProbeBudget::default(),
+            log: LogBudget::default(),
+            answer_ms: Latency::default(),
+            placement_ms: Latency::default(),
             counts: Counts::default(),
             stage: AtomicU8::new(HostStage::Starting as u8),
         });
--- a/crates/steering/src/target_control.rs
+++ b/crates/steering/src/target_control.rs
@@ -1,7 +1,7 @@
 //! Makes the routing snapshot from the registered targets, the orders and the hosts.
 
 use crate::{
-    FleetView, MoveGauge, ServicePool, Target, TargetCell, TargetGroup, TargetTable, place,
+    DutyRing, FleetView, MoveGauge, ServicePool, Target, TargetCell, TargetGroup, TargetTable,
 };
 use heatherhinge_orders::{RouteTable, ServiceSpec, TargetEntry, TargetPhase};
 use heatherhinge_types::{Digest, MonoNs, Name};
@@ -116,6 +116,7 @@
     /// Makes the snapshot.
     #[must_use]
     pub fn table(&self, stored_version: u64, inputs: &TargetInputs<'_>) -> TargetTable {
+        let ring = DutyRing::new(inputs.host, inputs.fleet);
         let mut pools: BTreeMap<Name, ServicePool> = BTreeMap::new();
         for known in self.targets.values() {
             let entry = &known.entry;
@@ -136,7 +137,7 @@
             } else {
                 &mut pool.current
             };
-            add(group, known, spec, inputs);
+            add(group, known, spec, &ring, inputs.zone);
         }
         for pool in pools.values_mut() {
             for group in [&mut pool.current, &mut pool.moving] {
@@ -154,16 +155,22 @@
     }
 }
 
-fn add(group: &mut TargetGroup, known: &Registered, spec: &ServiceSpec, inputs: &TargetInputs<'_>) {
+fn add(
+    group: &mut TargetGroup,
+    known: &Registered,
+    spec: &ServiceSpec,
+    ring: &DutyRing,
+    zone: &Name,
+) {
     let entry = &known.entry;
     let target = Arc::new(Target {
         entry: Arc::clone(entry),
         health_path: spec.health_path.clone(),
         cold_interval_ns: cold_interval_ns(spec),
-        is_fed_here: place(&entry.id, inputs.host, inputs.fleet) == Some(0),
+        is_fed_here: ring.place(&entry.id) == Some(0),
         cell: Arc::clone(&known.cell),
     });
-    if entry.zone == *inputs.zone {
+    if entry.zone == *zone {
         group.near.push(target);
     } else {
         group.far.push(target);
