Name the targets that have not answered in the log line of a request

Cause: the line of a request that ended at its timeout named no target, and a host estimated an answer's time with the penalty for past failures in it, so a booking was refused while all targets had failed before but were idle.

The sends of a request are kept until it ends and the line names those without an answer. The estimate uses the load alone.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -9,12 +9,13 @@
 use crate::refusal::refusal;
 use crate::story::Story;
 use crate::{WireHeaders, connection::Connection};
+use crossbeam_queue::ArrayQueue;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, AttemptFacts, HostStage, LineKind, MoveSample, NextStep, RouteStat, Side,
-    SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
+    AttemptEnd, AttemptFacts, HostStage, LineKind, LoadFigure, MoveSample, NextStep, RouteStat,
+    Side, SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
 };
 use heatherhinge_types::{Code, MonoNs, Name};
 use http::{HeaderValue, Request, Response};
@@ -61,6 +62,11 @@
     }
 }
 
+/// Targets that a request was sent to, and what they stated of their load.
+pub(crate) type SentLog = ArrayQueue<(Name, LoadFigure)>;
+/// Sends that are remembered for the log line.
+const MAX_SENT: usize = 8;
+
 /// What the attempts of a request share.
 struct Progress {
     sends: u32,
@@ -189,9 +195,9 @@
             may_have_run: false,
             fallback: None,
         };
-        let is_sent = AtomicBool::new(false);
+        let sent = SentLog::new(MAX_SENT);
         let mut attempts = FuturesUnordered::new();
-        attempts.push(self.attempt(call, Vec::new(), Standard::Best, &is_sent));
+        attempts.push(self.attempt(call, Vec::new(), Standard::Best, &sent));
         let give_up = tokio::time::sleep(Duration::from_nanos(call.give_up.ns_since(now)));
         tokio::pin!(give_up);
         let second_send = sleep_until(second_send_at(stat.as_deref()));
@@ -204,15 +210,17 @@
                     may_second_send = false;
                     let started = progress.started(attempts.len());
                     let may_send = started < call.route.max_attempts;
-                    if may_send && is_sent.load(Ordering::Acquire) && self.take_repeat(call) {
+                    if may_send && !sent.is_empty() && self.take_repeat(call) {
                         story.second_send();
                         let tried = progress.tried.clone();
-                        attempts.push(self.attempt(call, tried, Standard::GoodOnly, &is_sent));
+                        attempts.push(self.attempt(call, tried, Standard::GoodOnly, &sent));
                     }
                     continue;
                 }
                 () = &mut give_up => {
-                    return self.end_late(&mut progress, is_sent.load(Ordering::Acquire));
+                    let is_sent = !sent.is_empty();
+                    story.unanswered(&sent, &progress.tried);
+                    return end_late(&mut progress, is_sent);
                 }
             };
             self.learn(call, &attempted, stat.as_deref());
@@ -233,7 +241,7 @@
                         return progress.fallback.take().ok_or(otherwise);
                     }
                     let tried = progress.tried.clone();
-                    attempts.push(self.attempt(call, tried, Standard::Best, &is_sent));
+                    attempts.push(self.attempt(call, tried, Standard::Best, &sent));
                 }
             }
         }
@@ -257,27 +265,12 @@
         taken
     }
 
-    fn end_late(
-        &self,
-        progress: &mut Progress,
-        is_sent: bool,
-    ) -> Result<Response<AnswerBody>, Code> {
-        if let Some(response) = progress.fallback.take() {
-            return Ok(response);
-        }
-        Err(if is_sent {
-            Code::DeadlinePassed
-        } else {
-            Code::DeadlineTooShort
-        })
-    }
-
     fn attempt<'a>(
         &'a self,
         call: &'a Call,
         tried: Vec<Name>,
         standard: Standard,
-        is_sent: &'a AtomicBool,
+        sent: &'a SentLog,
     ) -> impl Future<Output = Attempted> + 'a {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(number));
@@ -301,7 +294,8 @@
                 Err(cause) => return Attempted::unplaced(cause),
             };
             let in_flight = self.begin(call, &target, side);
-            is_sent.store(true, Ordering::Release);
+            // A full log means that a request was sent more often than any route allows.
+            sent.push((target.id().clone(), load)).ok();
             let started = self.clock.mono_ns();
             let outgoing = Outgoing {
                 call,
@@ -419,6 +413,18 @@
     }
 }
 
+/// Ends a request that was not answered in time.
+fn end_late(progress: &mut Progress, is_sent: bool) -> Result<Response<AnswerBody>, Code> {
+    if let Some(response) = progress.fallback.take() {
+        return Ok(response);
+    }
+    Err(if is_sent {
+        Code::DeadlinePassed
+    } else {
+        Code::DeadlineTooShort
+    })
+}
+
 /// What a request does after an attempt.
 enum Decision {
     Deliver(Box<Response<AnswerBody>>),
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -150,8 +150,10 @@
         }
         let now = self.clock.mono_ns();
         search.found.retain(|probed| {
-            let (fit, cost) = self.rank(probed, now);
-            is_worth_it(call.promise(cost, now), fit, &probed.load)
+            let (fit, _) = self.rank(probed, now);
+            // Past failures make a target less welcome, but not slower.
+            let promise = call.promise(cost(&probed.load, 0), now);
+            is_worth_it(promise, fit, &probed.load)
         });
         self.take_best(&mut search, Fit::Queues)
     }
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -3,8 +3,9 @@
 use crate::AnswerBody;
 use crate::attempt::Attempted;
 use crate::call::Call;
-use heatherhinge_steering::{LineKind, SteeringBoard};
-use heatherhinge_types::{Code, MonoNs};
+use crate::forward::SentLog;
+use heatherhinge_steering::{LineKind, LoadFigure, SteeringBoard};
+use heatherhinge_types::{Code, MonoNs, Name};
 use http::Response;
 use std::fmt::Write;
 
@@ -35,22 +36,36 @@
 
     pub(crate) fn attempted(&mut self, attempted: &Attempted) {
         self.attempts += 1;
-        let target = attempted.target_id().map_or("none", |id| id.as_str());
-        let load = attempted.load.map(|load| {
-            (
-                load.running,
-                load.waiting,
-                load.slots,
-                load.slowness_percent,
-            )
-        });
+        let target = attempted.target_id().map_or("no target", |id| id.as_str());
+        let outcome = format!("{} after {} us", attempted.cause, attempted.took_us);
+        self.step(target, attempted.load, &outcome);
+    }
+
+    /// Notes the targets that have not answered when the time is over.
+    pub(crate) fn unanswered(&mut self, sent: &SentLog, answered: &[Name]) {
+        while let Some((id, load)) = sent.pop() {
+            if !answered.contains(&id) {
+                self.attempts += 1;
+                self.step(&id, Some(load), "no answer in time");
+            }
+        }
+    }
+
+    fn step(&mut self, target: &str, load: Option<LoadFigure>, outcome: &str) {
+        let load = load.map_or_else(
+            || "unknown".to_owned(),
+            |load| {
+                let LoadFigure {
+                    running,
+                    waiting,
+                    slots,
+                    slowness_percent,
+                } = load;
+                format!("{running} running, {waiting} waiting, {slots} slots, {slowness_percent}%")
+            },
+        );
         // Writing to a string cannot fail.
-        write!(
-            self.steps,
-            "{target} load {load:?} took {} us: {}; ",
-            attempted.took_us, attempted.cause
-        )
-        .ok();
+        write!(self.steps, "{target} (load {load}): {outcome}; ").ok();
     }
 
     pub(crate) fn finish(
--- a/crates/rehearsal/src/deployment.rs
+++ b/crates/rehearsal/src/deployment.rs
@@ -5,7 +5,7 @@
 use crate::ledger::Ledger;
 use crate::link::Link;
 use crate::store::Store;
-use crate::target::{Target, TargetSpec};
+use crate::target::{Target, TargetMode, TargetSpec};
 use eyre::{WrapErr, ensure};
 use serde_json::json;
 use std::net::SocketAddr;
@@ -184,6 +184,13 @@
         Ok(())
     }
 
+    /// Sets how all targets treat requests.
+    pub fn set_targets(&self, mode: TargetMode) {
+        for linked in &self.targets {
+            linked.target.set_mode(mode);
+        }
+    }
+
     /// Returns callers for this deployment.
     #[must_use]
     pub fn callers(&self) -> Callers {
--- a/crates/rehearsal/src/hosts.rs
+++ b/crates/rehearsal/src/hosts.rs
@@ -140,6 +140,12 @@
         }
     }
 
+    /// Returns the path of the file that holds what the process has logged.
+    #[must_use]
+    pub fn log(&self) -> &Path {
+        &self.log
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         match &mut self.child {
--- a/crates/rehearsal/src/target.rs
+++ b/crates/rehearsal/src/target.rs
@@ -30,6 +30,8 @@
     Serve,
     /// It runs each third request and breaks the connection without an answer.
     LoseAnswers,
+    /// It runs requests and breaks every connection without an answer.
+    LoseAll,
     /// It breaks each third answer off in its middle.
     CutAnswers,
     /// It fails each third request with 500 after it has run.
@@ -229,6 +231,7 @@
         let is_third = self.count.fetch_add(1, Ordering::Relaxed).is_multiple_of(3);
         let content = answer_body(id, body.len());
         let (status, body) = match mode {
+            TargetMode::LoseAll => return Err(io::Error::other("the answer is lost")),
             TargetMode::LoseAnswers if is_third => {
                 return Err(io::Error::other("the answer is lost"));
             }
