Send the second attempt of a request to another target

An answer that is lost without a closed connection leaves the first attempt under way; the second attempt left out only targets whose attempts had ended and went to the same one. Ruled out: the retry budget and health.

Attempts share the list of the request's sends. The ledger of the soak checks that no target runs a request twice.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -7,15 +7,15 @@
 use crate::in_flight::InFlight;
 use crate::placement::{Placer, Standard};
 use crate::refusal::refusal;
+use crate::sent_log::SentLog;
 use crate::story::Story;
 use crate::{WireHeaders, connection::Connection};
-use crossbeam_queue::ArrayQueue;
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, AttemptFacts, HostStage, LineKind, LoadFigure, MoveSample, NextStep, RouteStat,
-    Side, SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
+    AttemptEnd, AttemptFacts, HostStage, LineKind, MoveSample, NextStep, RouteStat, Side,
+    SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
 };
 use heatherhinge_types::{Code, MonoNs, Name};
 use http::{HeaderValue, Request, Response};
@@ -62,17 +62,12 @@
     }
 }
 
-/// Targets that a request was sent to, and what they stated of their load.
-pub(crate) type SentLog = ArrayQueue<(Name, LoadFigure)>;
-/// Sends that are remembered for the log line.
-const MAX_SENT: usize = 8;
-
 /// What the attempts of a request share.
 struct Progress {
     sends: u32,
     misses: u32,
-    /// Targets that the request was sent to.
-    tried: Vec<Name>,
+    /// Targets whose attempts have ended.
+    ended: Vec<Name>,
     /// Whether an attempt that was sent may have run.
     may_have_run: bool,
     /// Answer of a target that is passed on if no attempt does better.
@@ -191,13 +186,13 @@
         let mut progress = Progress {
             sends: 0,
             misses: 0,
-            tried: Vec::new(),
+            ended: Vec::new(),
             may_have_run: false,
             fallback: None,
         };
-        let sent = SentLog::new(MAX_SENT);
+        let sent = SentLog::default();
         let mut attempts = FuturesUnordered::new();
-        attempts.push(self.attempt(call, Vec::new(), Standard::Best, &sent));
+        attempts.push(self.attempt(call, Standard::Best, &sent));
         let give_up = tokio::time::sleep(Duration::from_nanos(call.give_up.ns_since(now)));
         tokio::pin!(give_up);
         let second_send = sleep_until(second_send_at(stat.as_deref()));
@@ -212,21 +207,20 @@
                     let may_send = started < call.route.max_attempts;
                     if may_send && !sent.is_empty() && self.take_repeat(call) {
                         story.second_send();
-                        let tried = progress.tried.clone();
-                        attempts.push(self.attempt(call, tried, Standard::GoodOnly, &sent));
+                        attempts.push(self.attempt(call, Standard::GoodOnly, &sent));
                     }
                     continue;
                 }
                 () = &mut give_up => {
                     let is_sent = !sent.is_empty();
-                    story.unanswered(&sent, &progress.tried);
+                    story.unanswered(&sent, &progress.ended);
                     return end_late(&mut progress, is_sent);
                 }
             };
             self.learn(call, &attempted, stat.as_deref());
             story.attempted(&attempted);
             if let Some(id) = attempted.target_id() {
-                progress.tried.push(id.clone());
+                progress.ended.push(id.clone());
             }
             let pending = attempts.len();
             match progress.next(call, attempted, pending) {
@@ -240,8 +234,7 @@
                     if draws_on_budget && !self.take_repeat(call) {
                         return progress.fallback.take().ok_or(otherwise);
                     }
-                    let tried = progress.tried.clone();
-                    attempts.push(self.attempt(call, tried, Standard::Best, &sent));
+                    attempts.push(self.attempt(call, Standard::Best, &sent));
                 }
             }
         }
@@ -268,7 +261,6 @@
     fn attempt<'a>(
         &'a self,
         call: &'a Call,
-        tried: Vec<Name>,
         standard: Standard,
         sent: &'a SentLog,
     ) -> impl Future<Output = Attempted> + 'a {
@@ -276,7 +268,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(self.seed.wrapping_add(number));
         async move {
             let began = self.clock.mono_ns();
-            let placed = self.placer.place(call, &tried, standard, &mut rng).await;
+            let placed = self.placer.place(call, sent, standard, &mut rng).await;
             let took_ms = self.clock.mono_ns().ms_since(began);
             self.board.placement_ms.count(took_ms);
             let mut placed = match placed {
@@ -294,8 +286,7 @@
                 Err(cause) => return Attempted::unplaced(cause),
             };
             let in_flight = self.begin(call, &target, side);
-            // A full log means that a request was sent more often than any route allows.
-            sent.push((target.id().clone(), load)).ok();
+            sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
             let outgoing = Outgoing {
                 call,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -25,6 +25,7 @@
 mod platform;
 mod probe;
 mod refusal;
+mod sent_log;
 mod settings;
 mod store_duty;
 mod story;
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -2,12 +2,13 @@
 
 use crate::call::{Call, Promise};
 use crate::probe::{Probed, Prober};
+use crate::sent_log::SentLog;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
     Cost, Fit, LoadFigure, ProbeSupply, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost,
     fit, sample,
 };
-use heatherhinge_types::{Code, MonoNs, Name};
+use heatherhinge_types::{Code, MonoNs};
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::time::Duration;
@@ -81,7 +82,7 @@
     pub(crate) async fn place(
         &self,
         call: &Call,
-        tried: &[Name],
+        sent: &SentLog,
         standard: Standard,
         rng: &mut Pcg64Mcg,
     ) -> Result<Placed, Code> {
@@ -106,7 +107,7 @@
                 side = Side::Moving;
             }
             let group = pool.group(side);
-            if let Some(probed) = self.search(call, group, tried, standard, rng).await {
+            if let Some(probed) = self.search(call, group, sent, standard, rng).await {
                 return Ok(Placed { probed, side });
             }
             if standard == Standard::GoodOnly || self.clock.mono_ns() >= hold_until {
@@ -124,12 +125,12 @@
         &self,
         call: &Call,
         group: &TargetGroup,
-        tried: &[Name],
+        sent: &SentLog,
         standard: Standard,
         rng: &mut Pcg64Mcg,
     ) -> Option<Probed> {
-        let is_tried = |target: &&Arc<Target>| tried.contains(target.id());
-        let asked = group.near.iter().chain(&group.far).filter(is_tried);
+        let is_sent = |target: &&Arc<Target>| sent.contains(target.id());
+        let asked = group.near.iter().chain(&group.far).filter(is_sent);
         let mut search = Search {
             asked: asked.cloned().collect(),
             found: Vec::new(),
--- /dev/null
+++ b/crates/gateway/src/sent_log.rs
@@ -0,0 +1,46 @@
+//! The targets that a request was sent to.
+
+use arc_swap::ArcSwap;
+use heatherhinge_steering::LoadFigure;
+use heatherhinge_types::Name;
+use std::sync::Arc;
+
+/// A send of a request.
+#[derive(Clone, Debug)]
+pub(crate) struct Sent {
+    /// The target.
+    pub(crate) target: Name,
+    /// What it stated before the send.
+    pub(crate) load: LoadFigure,
+}
+
+/// Sends of one request. Its attempts run side by side, and each must know where the others went.
+#[derive(Debug, Default)]
+pub(crate) struct SentLog(ArcSwap<Vec<Sent>>);
+
+impl SentLog {
+    /// Notes a send.
+    pub(crate) fn push(&self, target: Name, load: LoadFigure) {
+        let sent = Sent { target, load };
+        self.0.rcu(|old| {
+            let mut new = Vec::clone(old);
+            new.push(sent.clone());
+            new
+        });
+    }
+
+    /// Returns the sends so far.
+    pub(crate) fn read(&self) -> Arc<Vec<Sent>> {
+        self.0.load_full()
+    }
+
+    /// Returns whether the request was sent to no target.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.load().is_empty()
+    }
+
+    /// Returns whether the request was sent to a target.
+    pub(crate) fn contains(&self, target: &Name) -> bool {
+        self.0.load().iter().any(|sent| sent.target == *target)
+    }
+}
--- a/crates/gateway/src/story.rs
+++ b/crates/gateway/src/story.rs
@@ -3,7 +3,7 @@
 use crate::AnswerBody;
 use crate::attempt::Attempted;
 use crate::call::Call;
-use crate::forward::SentLog;
+use crate::sent_log::SentLog;
 use heatherhinge_steering::{LineKind, LoadFigure, SteeringBoard};
 use heatherhinge_types::{Code, MonoNs, Name};
 use http::Response;
@@ -43,10 +43,10 @@
 
     /// Notes the targets that have not answered when the time is over.
     pub(crate) fn unanswered(&mut self, sent: &SentLog, answered: &[Name]) {
-        while let Some((id, load)) = sent.pop() {
-            if !answered.contains(&id) {
+        for sent in sent.read().iter() {
+            if !answered.contains(&sent.target) {
                 self.attempts += 1;
-                self.step(&id, Some(load), "no answer in time");
+                self.step(&sent.target, Some(sent.load), "no answer in time");
             }
         }
     }
--- a/crates/rehearsal/src/ledger.rs
+++ b/crates/rehearsal/src/ledger.rs
@@ -1,6 +1,6 @@
 //! What targets ran and what callers saw, and the promises that both must keep.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::fmt;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -122,6 +122,13 @@
                     format!("{id} ran at {:?}", entry.runs),
                 ));
             }
+            let distinct: BTreeSet<&String> = entry.runs.iter().collect();
+            if distinct.len() < entry.runs.len() {
+                late.push((
+                    "a second send goes to another target",
+                    format!("{id} ran at {:?}", entry.runs),
+                ));
+            }
             if entry.is_at_most_once && entry.promised_not_run && !entry.runs.is_empty() {
                 late.push((
                     "a refusal is true",
--- a/crates/rehearsal/src/soak.rs
+++ b/crates/rehearsal/src/soak.rs
@@ -158,10 +158,11 @@
             TargetMode::LoseAnswers,
             TargetMode::CutAnswers,
             TargetMode::Fail,
+            TargetMode::Hang,
             TargetMode::Shed,
             TargetMode::Slow(8),
             TargetMode::LieIll,
-        ][self.rng.random_range(0..6)];
+        ][self.rng.random_range(0..7)];
         self.note(format!("target {index}: {mode:?}"));
         self.deployment.targets[index].target.set_mode(mode);
         let at = tokio::time::Instant::now() + Duration::from_secs(3);
--- a/crates/rehearsal/src/target.rs
+++ b/crates/rehearsal/src/target.rs
@@ -36,6 +36,8 @@
     CutAnswers,
     /// It fails each third request with 500 after it has run.
     Fail,
+    /// It runs each third request and never answers.
+    Hang,
     /// It says before running that it is full.
     Shed,
     /// It takes this many times as long.
@@ -229,6 +231,9 @@
         tokio::time::sleep(Duration::from_millis(self.spec.work_ms * factor)).await;
         drop(running);
         let is_third = self.count.fetch_add(1, Ordering::Relaxed).is_multiple_of(3);
+        if mode == TargetMode::Hang && is_third {
+            std::future::pending::<()>().await;
+        }
         let content = answer_body(id, body.len());
         let (status, body) = match mode {
             TargetMode::LoseAll => return Err(io::Error::other("the answer is lost")),
