Pause between reads of the store that bring nothing newer

While the store drops its history again and again, a read ended without making the copy younger and the host read again at once, on every host that was behind. Ruled out: the exchange (bytes unchanged) and restarts.

Reads that do not wait for a change are 500 ms apart, and only the first loss of the history is answered at once. A test plays a host whose reads all end in the same way; it counted hundreds of reads before.

--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -22,6 +22,11 @@
 /// Time after which a host reads orders from the store that another host is known to have, in
 /// milliseconds.
 const ORDERS_BEHIND_MS: u64 = 700;
+/// Shortest time between two reads that do not wait for a change, in milliseconds. A read that
+/// brings nothing newer would else be repeated at once.
+const READ_GAP_MS: u64 = 500;
+/// Time within which a second loss of the history is not answered at once, in milliseconds.
+const HISTORY_GAP_MS: u64 = 3_000;
 /// First pause after a failed call, in milliseconds.
 const FIRST_PAUSE_MS: u64 = 100;
 /// Longest pause after failed calls, in milliseconds. An order is to be in force within 2 s of its
@@ -86,6 +91,9 @@
 struct TableDuty {
     is_calling: bool,
     must_read_whole: bool,
+    /// Whether the call under way waits for a change, so that its return is news.
+    has_waited: bool,
+    history_lost: MonoNs,
     not_before: MonoNs,
     pause_ms: u64,
 }
@@ -95,6 +103,8 @@
         Self {
             is_calling: false,
             must_read_whole: false,
+            has_waited: false,
+            history_lost: MonoNs(0),
             not_before: MonoNs(0),
             pause_ms: FIRST_PAUSE_MS,
         }
@@ -106,8 +116,19 @@
             None => {
                 self.must_read_whole = false;
                 self.pause_ms = FIRST_PAUSE_MS;
+                if !self.has_waited {
+                    self.not_before = now.plus_ms(READ_GAP_MS);
+                }
+            }
+            Some(StoreFault::HistoryLost) => {
+                // Only the first loss in a row is answered at once: the store may drop its
+                // history again and again.
+                if self.must_read_whole || now.ms_since(self.history_lost) < HISTORY_GAP_MS {
+                    self.not_before = now.plus_ms(READ_GAP_MS);
+                }
+                self.must_read_whole = true;
+                self.history_lost = now;
             }
-            Some(StoreFault::HistoryLost) => self.must_read_whole = true,
             Some(_) => {
                 self.not_before = now.plus_ms(self.pause_ms);
                 self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
@@ -117,6 +138,7 @@
 
     fn begin(&mut self, table: StoredTable, version: u64, wait_ms: u64) -> StoreCall {
         self.is_calling = true;
+        self.has_waited = wait_ms > 0 && !self.must_read_whole;
         let after = if self.must_read_whole { 0 } else { version };
         StoreCall::Read {
             table,
@@ -225,3 +247,7 @@
         calls
     }
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/store_duty.rs"]
+mod tests;
--- /dev/null
+++ b/crates/gateway/tests/unit/store_duty.rs
@@ -0,0 +1,107 @@
+//! Which calls a host makes to the store, and how many.
+
+use super::*;
+
+const LEAVE_MS: u64 = 2_000;
+
+fn facts(is_reader: bool, targets_age_ms: u64) -> StoreFacts {
+    StoreFacts {
+        is_reader,
+        orders_behind_ms: 0,
+        is_alone: false,
+        orders_version: 5,
+        targets_version: 5,
+        targets_age_ms,
+    }
+}
+
+fn start() -> (StoreDuty, MonoNs) {
+    let now = MonoNs::from_ms(10_000);
+    (StoreDuty::new(now, 0, LEAVE_MS), now)
+}
+
+fn reads(calls: &[StoreCall], of: StoredTable) -> usize {
+    let is_read = |call: &&StoreCall| matches!(call, StoreCall::Read { table, .. } if *table == of);
+    calls.iter().filter(is_read).count()
+}
+
+/// Plays a host whose calls all end at once in the same way and counts its reads.
+fn play(facts: &StoreFacts, fault: Option<&StoreFault>, lasts_ms: u64) -> (usize, usize) {
+    let (mut duty, start) = start();
+    let (mut targets, mut orders) = (0, 0);
+    for ms in (0..lasts_ms).step_by(10) {
+        let now = start.plus_ms(ms);
+        for call in duty.next(facts, now) {
+            if let StoreCall::Read { table, .. } = call {
+                match table {
+                    StoredTable::Targets => targets += 1,
+                    StoredTable::Orders => orders += 1,
+                }
+                duty.ended(table, fault, now);
+            }
+        }
+    }
+    (targets, orders)
+}
+
+// Guards against a follower that calls although others have told it all.
+#[test]
+fn a_follower_with_fresh_copies_makes_no_call() {
+    assert_eq!(play(&facts(false, 300), None, 10_000), (0, 0));
+}
+
+// Guards against a stale follower that waits for others.
+#[test]
+fn a_follower_reads_when_its_copy_is_old() {
+    let (mut duty, now) = start();
+    let calls = duty.next(&facts(false, LEAVE_MS * 7 / 10), now);
+    assert_eq!(reads(&calls, StoredTable::Targets), 1);
+    assert_eq!(reads(&calls, StoredTable::Orders), 1);
+}
+
+// Guards against hundreds of calls while reads bring nothing newer: 8,232 calls were made on a day
+// on which the store dropped its history for 12 s.
+#[test]
+fn reads_that_bring_nothing_are_not_repeated_at_once() {
+    let (targets, orders) = play(&facts(false, 5_000), None, 10_000);
+    assert!(
+        targets <= 21 && orders <= 21,
+        "{targets} and {orders} reads"
+    );
+    let lost = StoreFault::HistoryLost;
+    let (targets, _) = play(&facts(true, 5_000), Some(&lost), 10_000);
+    assert!(targets <= 23, "{targets} reads");
+}
+
+// Guards against a wait where the history is lost for the first time.
+#[test]
+fn a_lost_history_is_followed_by_a_whole_read_at_once() {
+    let (mut duty, now) = start();
+    duty.next(&facts(true, 1_000), now);
+    duty.ended(StoredTable::Orders, Some(&StoreFault::HistoryLost), now);
+    let calls = duty.next(&facts(true, 0), now);
+    let is_whole = |call: &StoreCall| matches!(call, StoreCall::Read { after: 0, .. });
+    assert!(calls.iter().any(is_whole), "{calls:?}");
+}
+
+// Guards against hosts that stay with old orders although another host has newer ones.
+#[test]
+fn known_newer_orders_are_read_from_the_store() {
+    let (mut duty, now) = start();
+    let behind = StoreFacts {
+        orders_behind_ms: ORDERS_BEHIND_MS,
+        ..facts(false, 100)
+    };
+    assert_eq!(reads(&duty.next(&behind, now), StoredTable::Orders), 1);
+}
+
+// Guards against a store that is called at full rate while it fails.
+#[test]
+fn failures_are_followed_by_growing_pauses() {
+    let fault = StoreFault::Unavailable("busy".to_owned());
+    let (targets, orders) = play(&facts(true, 5_000), Some(&fault), 10_000);
+    assert!(
+        targets <= 18 && orders <= 18,
+        "{targets} and {orders} reads"
+    );
+}
