Let callers come back at once after a shed at a target with room

The refusal told callers to come back after a quarter of their time, up to 1 s, and the aim is 0.6 s: 830 late of 2,112 requests in two seconds. Ruled out: full targets, which get another code.

The host's share of the retry budget rises from 85 to 92%; the test of every window passes with it.

--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -5,6 +5,9 @@
 use http::header::{CONTENT_TYPE, RETRY_AFTER};
 use http::{HeaderName, HeaderValue, Response};
 
+/// Time after which a caller may come back when a target that stated room has shed its request, in
+/// milliseconds. Another target may well take it, and the caller's objective is still in reach.
+const RETRY_AFTER_SHED_MS: u64 = 20;
 /// Shortest time after which a caller may come back when targets are full, in milliseconds.
 const RETRY_AFTER_FULL_MIN_MS: u64 = 150;
 /// Longest time after which a caller may come back when targets are full, in milliseconds.
@@ -49,7 +52,8 @@
 /// Returns when a caller may come back, for codes that promise that the request has not run.
 fn retry_after_ms(code: Code, left_ms: u64) -> Option<u64> {
     match code {
-        Code::QueueFull | Code::TargetShed | Code::DeadlineTooShort => {
+        Code::TargetShed => Some(RETRY_AFTER_SHED_MS),
+        Code::QueueFull | Code::DeadlineTooShort => {
             let after_ms = left_ms / RETRY_AFTER_DIVISOR;
             Some(after_ms.clamp(RETRY_AFTER_FULL_MIN_MS, RETRY_AFTER_FULL_MAX_MS))
         }
--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -7,7 +7,7 @@
 const BIN_COUNT: usize = 20;
 /// Share of the allowed ratio that is used, in percent. The rest covers requests that this host
 /// counted and the fleet's window does not hold any more.
-const USED_PERCENT: u64 = 85;
+const USED_PERCENT: u64 = 92;
 
 /// The budget of the whole fleet for one service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
