--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -447,7 +447,7 @@
             self.sync(now);
         }
         if is_starting {
-            self.ask_seeds();
+            self.ask_next_seed();
         }
         self.step_moves(now);
         self.read_store(now);
@@ -516,12 +516,18 @@
         }
     }
 
-    /// Asks the hosts that the settings name, which read the store first.
-    fn ask_seeds(&mut self) {
-        let own = self.parts.settings.peer_addr;
-        let seeds = self.parts.settings.seeds.clone();
-        for addr in seeds.into_iter().filter(|addr| *addr != own) {
-            self.ask(addr);
+    /// Asks the hosts that the settings name, which read the store first, in turn. A hundred hosts
+    /// that start at once would else take all of their processor time.
+    fn ask_next_seed(&mut self) {
+        let settings = &self.parts.settings;
+        let seeds = settings.seeds.iter().copied();
+        let seeds: Vec<SocketAddr> = seeds.filter(|addr| *addr != settings.peer_addr).collect();
+        if seeds.is_empty() {
+            return;
+        }
+        let turn = self.ticks.wrapping_add(self.parts.seed) % seeds.len() as u64;
+        if let Some(addr) = usize::try_from(turn).ok().and_then(|turn| seeds.get(turn)) {
+            self.ask(*addr);
         }
     }
 
