Split the conductor and the data path into files of one job

The state that is told, the chase for newer orders, the registrations, the moves, the planned stop and the progress of a request have files of their own; behaviour is unchanged.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -1,30 +1,32 @@
 //! Steps the controllers and publishes what they decide.
 
-use crate::caller_server::{ListenMode, OpenConnections};
+use crate::announcement::{Announcement, OwnFacts};
 use crate::events::GatewayEvent;
 use crate::fleet_board::{FleetBoard, FleetWriters};
 use crate::fleet_service::SyncAnswer;
-use crate::forward::Forwarder;
 use crate::intake::OrderBook;
 use crate::io::Io;
 use crate::links::Links;
+use crate::move_desk::MoveDesk;
+use crate::orders_chase::OrdersChase;
+use crate::planned_stop::PlannedStop;
+use crate::route_publisher::publish_routes;
 use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
-use crate::{GatewaySettings, Platform, StoreFault, StoredTable, WriteOutcome};
+use crate::target_desk::{TargetDesk, used_ids};
+use crate::{GatewaySettings, Platform, StoreFault, StoredTable};
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    BeatId, CrashWatch, DrainNext, FleetView, HostStage, HostState, Membership, MoveControl,
-    MoveEffect, MoveReport, MoveState, Replica, ReportedState, RetryBudget, RouteStat,
-    SteeringBoard, SteeringWriters, TableUpdate, TargetControl, TargetInputs, drain_next,
+    CrashWatch, DrainNext, FleetView, HostStage, HostState, Membership, Replica, SteeringBoard,
+    SteeringWriters, TableUpdate, TargetInputs,
 };
 use heatherhinge_types::{MonoNs, Name};
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
-use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
-use tokio::sync::{mpsc, oneshot, watch};
+use tokio::sync::{mpsc, oneshot};
 use tokio::time::{Instant, sleep_until};
 
 /// Time between two steps of the controllers.
@@ -34,8 +36,6 @@
 const START_TICK: Duration = Duration::from_millis(60);
 /// Steps between exchanges with other hosts.
 const TICKS_PER_SYNC: u64 = 2;
-/// Shortest time over which requests are counted for a rate, in milliseconds.
-const COUNT_INTERVAL_MS: u64 = 250;
 /// Hosts that are told at once of new orders. Each of them tells as many others.
 const TOLD_OF_ORDERS: usize = 4;
 /// Time after its start for which a host learns from others before it asks the store, in
@@ -46,11 +46,6 @@
 /// Time for which a host waits for registrations before it takes callers without, in
 /// milliseconds.
 const START_WAIT_MS: u64 = 2_500;
-/// Beats after which a change of the counts of a move is told, so that they are told at most
-/// about every 600 ms.
-const BEATS_PER_TALLY: u32 = 2;
-/// Change of the request rate that is told, in percent.
-const RATE_CHANGE_PERCENT: u32 = 25;
 
 /// What the conductor is made of.
 pub(crate) struct ConductorParts<P> {
@@ -61,12 +56,10 @@
     pub(crate) fleet_writers: FleetWriters,
     pub(crate) io: Io<P>,
     pub(crate) links: Arc<Links>,
-    pub(crate) forwarder: Arc<Forwarder>,
+    pub(crate) stop: PlannedStop,
     pub(crate) clock: Clock,
     pub(crate) incarnation: u64,
     pub(crate) seed: u64,
-    pub(crate) mode: watch::Sender<ListenMode>,
-    pub(crate) open: Arc<OpenConnections>,
 }
 
 /// Owns the controllers and all writers of the blackboard.
@@ -74,27 +67,16 @@
     parts: ConductorParts<P>,
     membership: Membership,
     orders: Replica,
-    targets: Replica,
     book: OrderBook,
-    target_control: TargetControl,
-    moves: MoveControl,
+    targets: TargetDesk,
+    moves: MoveDesk,
     crashes: CrashWatch,
+    announcement: Announcement,
+    chase: OrdersChase,
+    store_duty: StoreDuty,
     rng: Pcg64Mcg,
     started: MonoNs,
-    beat: u32,
     ticks: u64,
-    told: Option<HostState>,
-    /// Whether an exchange is under way that may bring orders.
-    orders_asked: bool,
-    /// A host that has newer orders.
-    newer_orders_at: Option<SocketAddr>,
-    /// Since when another host is known to have newer orders.
-    behind_since: Option<MonoNs>,
-    store_duty: StoreDuty,
-    requests_per_s: u32,
-    requests_before: u64,
-    counted_at: MonoNs,
-    stop_since: Option<MonoNs>,
 }
 
 impl<P: Platform> Conductor<P> {
@@ -112,24 +94,16 @@
         Self {
             membership,
             orders: Replica::default(),
-            targets: Replica::default(),
             book: OrderBook::default(),
-            target_control: TargetControl::default(),
-            moves: MoveControl::default(),
+            targets: TargetDesk::default(),
+            moves: MoveDesk::default(),
             crashes: CrashWatch::default(),
+            announcement: Announcement::new(parts.incarnation, started),
+            chase: OrdersChase::default(),
+            store_duty,
             rng,
             started,
-            beat: 0,
             ticks: 0,
-            told: None,
-            orders_asked: false,
-            newer_orders_at: None,
-            behind_since: None,
-            store_duty,
-            requests_per_s: 0,
-            requests_before: 0,
-            counted_at: started,
-            stop_since: None,
             parts,
         }
     }
@@ -169,7 +143,7 @@
                 answer,
             } => {
                 if wanted_orders {
-                    self.orders_asked = false;
+                    self.chase.ended();
                 }
                 if let Some(answer) = answer {
                     self.synced(*answer);
@@ -180,8 +154,7 @@
                 let peer_addr = state.peer_addr;
                 self.heard(*state);
                 if orders_told > self.orders.changed_version() {
-                    self.behind_since = self.behind_since.or_else(|| Some(self.now()));
-                    self.newer_orders_at = Some(peer_addr);
+                    self.chase.heard_of_newer(peer_addr, self.now());
                     self.ask_for_orders();
                 }
             }
@@ -199,19 +172,19 @@
                     self.store_duty.register_failed(self.now());
                 }
             },
-            GatewayEvent::ReportRead { service, result } => match result {
-                Ok(report) => self.moves.set_report(&service, report, self.now()),
-                Err(error) => {
-                    tracing::info!(%service, "moves: the report was not read: {error}");
-                    self.moves.report_unknown(&service);
-                }
-            },
+            GatewayEvent::ReportRead { service, result } => {
+                let now = self.now();
+                self.moves.read(&service, result, now);
+            }
             GatewayEvent::ReportWritten {
                 service,
                 to,
                 state,
                 result,
-            } => self.report_written(&service, to, state, result),
+            } => {
+                let now = self.now();
+                self.moves.written(&service, to, state, result, now);
+            }
             GatewayEvent::Crashed { digest } => {
                 self.crashes.count(digest, self.now());
                 self.publish_held_back();
@@ -255,88 +228,34 @@
         if applied.is_empty() {
             return;
         }
-        self.behind_since = None;
-        self.newer_orders_at = None;
+        self.chase.caught_up();
         let platform = Arc::clone(&self.parts.io.platform);
         for change in &applied {
             self.book.apply(platform.as_ref(), change);
         }
         let names: Vec<Name> = self.book.route_names();
         self.moves.set_orders(self.book.moves(), &names, now);
-        self.publish_routes();
+        publish_routes(
+            self.book.routes(),
+            &self.parts.board,
+            &mut self.parts.writers,
+            self.parts.settings.budget,
+            self.parts.seed,
+        );
         self.publish_targets();
         for addr in self.membership.partners(TOLD_OF_ORDERS, now, &mut self.rng) {
             self.ask(addr);
         }
     }
 
-    fn publish_routes(&mut self) {
-        let table = self.book.routes();
-        let writers = &mut self.parts.writers;
-        if !writers.routes.publish_if_changed(table.clone()) {
-            return;
-        }
-        tracing::info!(version = table.version, "orders: routes in force");
-        let old = Arc::clone(&self.parts.board.budgets.read_owned());
-        let limits = self.parts.settings.budget;
-        let budget = |name: &Name| {
-            let known = old.value.get(name).map(Arc::clone);
-            known.unwrap_or_else(|| Arc::new(RetryBudget::new(limits)))
-        };
-        let budgets = table
-            .services
-            .keys()
-            .map(|name| (name.clone(), budget(name)));
-        writers.budgets.publish(budgets.collect());
-        let old = Arc::clone(&self.parts.board.route_stats.read_owned());
-        let seed = self.parts.seed;
-        let stat = |name: &Name| {
-            let known = old.value.get(name).map(Arc::clone);
-            known.unwrap_or_else(|| Arc::new(RouteStat::new(seed)))
-        };
-        let stats = table
-            .routes()
-            .map(|route| (route.name.clone(), stat(&route.name)));
-        writers.route_stats.publish(stats.collect());
-    }
-
     fn apply_targets(&mut self, update: &TableUpdate) {
         let now = self.now();
-        let before = self.targets.as_of();
         let platform = Arc::clone(&self.parts.io.platform);
-        let is_same = |before: &[u8], after: &[u8]| platform.is_same_target(before, after);
-        let applied = self.targets.apply(update, now, is_same);
-        let gap_ms = self.targets.as_of().ms_since(before);
-        self.parts
-            .fleet_writers
-            .targets
-            .publish(self.targets.clone());
-        if applied.is_empty() {
-            return;
-        }
-        for change in &applied {
-            self.apply_target(change, gap_ms, now);
-        }
-        self.publish_targets();
-    }
-
-    fn apply_target(
-        &mut self,
-        change: &heatherhinge_steering::AppliedChange,
-        gap_ms: u64,
-        now: MonoNs,
-    ) {
-        let Some(row) = &change.row else {
-            tracing::info!(target = %change.key, gap_ms, "targets: the entry is gone");
-            self.target_control.remove(&change.key, gap_ms, now);
-            return;
-        };
-        match self.parts.io.platform.target(&change.key, &row.content) {
-            Ok(entry) => self.target_control.set(entry, now),
-            Err(error) => {
-                tracing::debug!(key = %change.key, "targets: an entry names no target: {error}");
-                self.target_control.remove(&change.key, 0, now);
-            }
+        let has_changed = self.targets.apply(update, platform.as_ref(), now);
+        let replica = self.targets.replica().clone();
+        self.parts.fleet_writers.targets.publish(replica);
+        if has_changed {
+            self.publish_targets();
         }
     }
 
@@ -344,25 +263,15 @@
         let fleet = self.parts.board.fleet.read_owned();
         let routes = self.parts.board.routes.read_owned();
         let gauges = self.moves.gauges();
-        let table = self.target_control.table(
-            self.targets.version(),
-            &TargetInputs {
-                host: &self.parts.settings.host,
-                zone: &self.parts.settings.zone,
-                routes: &routes.value,
-                zones_out: self.book.zones_out(),
-                gauges: &gauges,
-                fleet: &fleet.value,
-            },
-        );
-        let ids: BTreeSet<Name> = table
-            .pools
-            .values()
-            .flat_map(|pool| [&pool.current, &pool.moving])
-            .flat_map(|group| group.near.iter().chain(&group.far))
-            .map(|target| target.id().clone())
-            .collect();
-        self.parts.links.retain(&ids);
+        let table = self.targets.table(&TargetInputs {
+            host: &self.parts.settings.host,
+            zone: &self.parts.settings.zone,
+            routes: &routes.value,
+            zones_out: self.book.zones_out(),
+            gauges: &gauges,
+            fleet: &fleet.value,
+        });
+        self.parts.links.retain(&used_ids(&table));
         self.parts.writers.targets.publish(table);
     }
 
@@ -402,44 +311,11 @@
         self.check_ready(now);
     }
 
-    /// Makes the state that the others are told, with a new revision if its content is new.
-    fn own_state(&mut self, now: MonoNs) -> HostState {
-        let settings = &self.parts.settings;
-        let mut state = HostState {
-            host: settings.host.clone(),
-            id: BeatId {
-                incarnation: self.parts.incarnation,
-                beat: self.beat,
-            },
-            revision: 0,
-            caller_addr: settings.caller_addr,
-            peer_addr: settings.peer_addr,
-            zone: settings.zone.clone(),
-            stage: self.parts.board.stage(),
-            requests_per_s: self.requests_per_s,
-            capacity_milli: settings.capacity_milli,
-            moves: self.moves.states(now),
-            crashes: self.crashes.tallies(),
-        };
-        if let Some(told) = &self.told {
-            let may_tell_tallies = self.beat.is_multiple_of(BEATS_PER_TALLY);
-            state.revision = told.revision;
-            if is_news(told, &state, may_tell_tallies) {
-                state.revision += 1;
-            } else {
-                state.requests_per_s = told.requests_per_s;
-                state.moves.clone_from(&told.moves);
-            }
-        }
-        self.told = Some(state.clone());
-        state
-    }
-
     fn tick(&mut self) -> DrainNext {
         let now = self.now();
         self.ticks += 1;
         self.check_ready(now);
-        if self.target_control.expire(now) {
+        if self.targets.expire(now) {
             self.publish_targets();
         }
         let is_starting = self.parts.board.stage() == HostStage::Starting;
@@ -451,7 +327,7 @@
         }
         self.step_moves(now);
         self.read_store(now);
-        self.drain(now)
+        self.parts.stop.step(now)
     }
 
     fn check_ready(&mut self, now: MonoNs) {
@@ -460,24 +336,28 @@
             return;
         }
         let has_waited = now.ms_since(self.started) >= START_WAIT_MS;
-        if !self.target_control.is_empty() || has_waited {
+        if self.targets.len() > 0 || has_waited {
             board.set_stage(HostStage::Ready);
             // Tells the others, and lets the directory name this host.
             self.sync(now);
             let board = &self.parts.board;
             tracing::info!(
                 routes_version = board.routes.read().value.version,
-                targets = self.target_control.len(),
+                targets = self.targets.len(),
                 "gateway: ready for callers"
             );
         }
     }
 
     fn sync(&mut self, now: MonoNs) {
-        self.beat += 1;
-        self.count_requests(now);
-        let own = self.own_state(now);
-        self.membership.set_own(own.clone(), now);
+        let facts = OwnFacts {
+            stage: self.parts.board.stage(),
+            moves: self.moves.states(now),
+            crashes: self.crashes.tallies(),
+            requests: self.parts.board.counts.requests.load(Ordering::Relaxed),
+        };
+        let own = self.announcement.next(&self.parts.settings, facts, now);
+        self.membership.set_own(own, now);
         self.membership.forget_silent(now);
         let fleet = self.membership.view(now);
         let before = self.parts.board.fleet.read_owned();
@@ -543,49 +423,29 @@
 
     /// Asks a host that has newer orders for them, unless another one is being asked.
     fn ask_for_orders(&mut self) {
-        if self.orders_asked {
-            return;
-        }
-        if let Some(addr) = self.newer_orders_at.take() {
+        if let Some(addr) = self.chase.next() {
             self.ask(addr);
         }
     }
 
-    /// Begins an exchange with a host. Only one exchange at a time may bring orders, because they
-    /// can be large and several hosts may have the same ones.
+    /// Begins an exchange with a host.
     fn ask(&mut self, addr: SocketAddr) {
-        let Some(own) = &self.told else {
+        let Some(own) = self.announcement.told() else {
             return;
         };
-        let wants_orders = !self.orders_asked || self.orders.version() == 0;
-        self.orders_asked = true;
+        let wants_orders = self.chase.begin(self.orders.version() > 0);
         let board = &self.parts.fleet_board;
         let request = board.request(own.clone(), wants_orders, self.parts.clock.mono_ns());
         self.parts.io.sync(addr, request);
     }
 
-    /// Measures the requests a second since the last exchange, smoothed over about two seconds.
-    fn count_requests(&mut self, now: MonoNs) {
-        let total = self.parts.board.counts.requests.load(Ordering::Relaxed);
-        let new = total.saturating_sub(self.requests_before);
-        let passed_ms = now.ms_since(self.counted_at);
-        if passed_ms < COUNT_INTERVAL_MS {
-            return;
-        }
-        self.counted_at = now;
-        self.requests_before = total;
-        let rate = new * 1_000 / passed_ms;
-        let smoothed = (u64::from(self.requests_per_s) * 7 + rate).div_ceil(8);
-        self.requests_per_s = u32::try_from(smoothed).unwrap_or(u32::MAX);
-    }
-
     fn share_probes(&self, fleet: &FleetView) {
         let live: u64 = fleet
             .live
             .iter()
             .map(|host| u64::from(host.requests_per_s))
             .sum();
-        let targets = u64::try_from(self.target_control.len()).unwrap_or(u64::MAX);
+        let targets = u64::try_from(self.targets.len()).unwrap_or(u64::MAX);
         let per_target_s = self.parts.settings.probes_per_s;
         self.parts
             .board
@@ -595,54 +455,8 @@
 
     fn step_moves(&mut self, now: MonoNs) {
         let fleet = self.parts.board.fleet.read_owned();
-        let effects = self
-            .moves
-            .step(&self.parts.settings.host, &fleet.value, now);
-        for effect in effects {
-            match effect {
-                MoveEffect::ReadReport(service) => self.parts.io.read_report(service),
-                MoveEffect::WriteReport {
-                    service,
-                    to,
-                    state,
-                    expected_version,
-                } => {
-                    tracing::info!(%service, %to, ?state, expected_version, "moves: writing a report");
-                    self.parts
-                        .io
-                        .write_report(service, to, state, expected_version);
-                }
-                MoveEffect::Note {
-                    service,
-                    stage,
-                    reason,
-                } => tracing::info!(%service, ?stage, reason, "moves: a move has a new stage"),
-            }
-        }
-    }
-
-    fn report_written(
-        &mut self,
-        service: &Name,
-        to: Name,
-        state: ReportedState,
-        result: Result<WriteOutcome, StoreFault>,
-    ) {
-        match result {
-            Ok(WriteOutcome::Written(version)) => {
-                tracing::info!(%service, %to, ?state, version, "moves: the report was written");
-                let report = MoveReport { to, state, version };
-                self.moves.set_report(service, Some(report), self.now());
-            }
-            Ok(WriteOutcome::Conflict) => {
-                tracing::info!(%service, "moves: another report was there first");
-                self.moves.report_unknown(service);
-            }
-            Err(error) => {
-                tracing::info!(%service, "moves: the report's fate is unknown: {error}");
-                self.moves.report_unknown(service);
-            }
-        }
+        let host = &self.parts.settings.host;
+        self.moves.step(host, &fleet.value, &self.parts.io, now);
     }
 
     fn read_store(&mut self, now: MonoNs) {
@@ -653,11 +467,11 @@
             is_reader: store_readers(&fleet.value)
                 .iter()
                 .any(|host| host.host == *own),
-            orders_behind_ms: self.behind_since.map_or(0, |since| now.ms_since(since)),
+            orders_behind_ms: self.chase.behind_ms(now),
             is_alone: !self.membership.others().any(|host| host.is_live(now)),
             orders_version: self.orders.version(),
-            targets_version: self.targets.version(),
-            targets_age_ms: self.targets.age_ms(now),
+            targets_version: self.targets.replica().version(),
+            targets_age_ms: self.targets.replica().age_ms(now),
         };
         drop(fleet);
         for call in self.store_duty.next(&facts, now) {
@@ -675,69 +489,10 @@
     }
 
     fn begin_stop(&mut self) {
-        if self.stop_since.is_some() {
-            return;
-        }
         let now = self.now();
-        self.stop_since = Some(now);
-        self.parts.board.set_stage(HostStage::Leaving);
-        self.parts.mode.send_replace(ListenMode::CloseAfterAnswer);
-        tracing::info!(
-            connections = self.parts.open.count(),
-            "gateway: a planned stop begins"
-        );
-        self.sync(now);
-    }
-
-    fn drain(&mut self, now: MonoNs) -> DrainNext {
-        let Some(since) = self.stop_since else {
-            return DrainNext::Serve;
-        };
-        let in_flight = self.parts.open.count();
-        let next = drain_next(since, now, self.parts.settings.grace_ms, in_flight);
-        if next != DrainNext::Serve {
-            self.parts
-                .forwarder
-                .is_closed
-                .store(true, Ordering::Release);
-            self.parts.mode.send_replace(ListenMode::Closed);
-        }
-        if next == DrainNext::Exit {
-            tracing::info!(
-                connections = in_flight,
-                "gateway: the planned stop is complete"
-            );
+        if self.parts.stop.begin(now) {
+            self.parts.board.set_stage(HostStage::Leaving);
+            self.sync(now);
         }
-        next
     }
 }
-
-/// Returns whether a state says more than the one that was told last.
-fn is_news(told: &HostState, state: &HostState, may_tell_tallies: bool) -> bool {
-    let (old, new) = (told.requests_per_s, state.requests_per_s);
-    let rate_changed = old.abs_diff(new) * 100 > old.max(4) * RATE_CHANGE_PERCENT;
-    let stages = |state: &HostState| -> Vec<_> {
-        let of = |known: &MoveState| {
-            let in_flight = known.current_in_flight > 0;
-            (
-                known.order_version,
-                known.stage,
-                known.is_reported,
-                in_flight,
-            )
-        };
-        state.moves.iter().map(of).collect()
-    };
-    let tallies = |state: &HostState| -> Vec<_> {
-        state
-            .moves
-            .iter()
-            .map(|known| known.routes.clone())
-            .collect()
-    };
-    rate_changed
-        || told.stage != state.stage
-        || told.crashes != state.crashes
-        || stages(told) != stages(state)
-        || (may_tell_tallies && tallies(told) != tallies(state))
-}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -6,6 +6,7 @@
 use crate::events::{EventSender, GatewayEvent};
 use crate::in_flight::InFlight;
 use crate::placement::{Placer, Standard};
+use crate::progress::{Decision, Progress, end_late};
 use crate::refusal::refusal;
 use crate::sent_log::SentLog;
 use crate::story::Story;
@@ -14,10 +15,10 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, AttemptFacts, HostStage, LineKind, MoveSample, NextStep, RouteStat, Side,
-    SteeringBoard, Target, USUAL_SLOWNESS_PERCENT, after_attempt,
+    AttemptEnd, HostStage, LineKind, MoveSample, RouteStat, Side, SteeringBoard, Target,
+    USUAL_SLOWNESS_PERCENT,
 };
-use heatherhinge_types::{Code, MonoNs, Name};
+use heatherhinge_types::{Code, MonoNs};
 use http::{HeaderValue, Request, Response};
 use hyper::body::Incoming;
 use rand::SeedableRng;
@@ -62,18 +63,6 @@
     }
 }
 
-/// What the attempts of a request share.
-struct Progress {
-    sends: u32,
-    misses: u32,
-    /// Targets whose attempts have ended.
-    ended: Vec<Name>,
-    /// Whether an attempt that was sent may have run.
-    may_have_run: bool,
-    /// Answer of a target that is passed on if no attempt does better.
-    fallback: Option<Response<AnswerBody>>,
-}
-
 impl Forwarder {
     /// Answers one request of a caller.
     pub async fn forward(self: Arc<Self>, request: Request<Incoming>) -> Response<AnswerBody> {
@@ -183,13 +172,7 @@
             budget.count_request(now);
         }
         let stat = self.route_stat(call);
-        let mut progress = Progress {
-            sends: 0,
-            misses: 0,
-            ended: Vec::new(),
-            may_have_run: false,
-            fallback: None,
-        };
+        let mut progress = Progress::default();
         let sent = SentLog::default();
         let mut attempts = FuturesUnordered::new();
         attempts.push(self.attempt(call, Standard::Best, &sent));
@@ -404,84 +387,6 @@
     }
 }
 
-/// Ends a request that was not answered in time.
-fn end_late(progress: &mut Progress, is_sent: bool) -> Result<Response<AnswerBody>, Code> {
-    if let Some(response) = progress.fallback.take() {
-        return Ok(response);
-    }
-    Err(if is_sent {
-        Code::DeadlinePassed
-    } else {
-        Code::DeadlineTooShort
-    })
-}
-
-/// What a request does after an attempt.
-enum Decision {
-    Deliver(Box<Response<AnswerBody>>),
-    Await,
-    TryAgain {
-        draws_on_budget: bool,
-        otherwise: Code,
-    },
-    End(Code),
-}
-
-impl Progress {
-    /// Returns the attempts that have reached a target or may still do so.
-    fn started(&self, pending: usize) -> u32 {
-        self.sends + u32::try_from(pending).unwrap_or(u32::MAX)
-    }
-
-    fn next(&mut self, call: &Call, attempted: Attempted, pending: usize) -> Decision {
-        match attempted.end {
-            AttemptEnd::Unplaced | AttemptEnd::NeverSent => self.misses += 1,
-            AttemptEnd::NotRun => self.sends += 1,
-            AttemptEnd::Answered | AttemptEnd::Failed | AttemptEnd::Broke => {
-                self.sends += 1;
-                self.may_have_run = true;
-            }
-        }
-        let facts = AttemptFacts {
-            end: attempted.end,
-            is_idempotent: call.route.kind.is_idempotent(),
-            sends: self.sends,
-            misses: self.misses,
-            max_sends: call.route.max_attempts.max(1),
-            pending,
-        };
-        let otherwise = self.code(attempted.end);
-        let step = after_attempt(&facts);
-        match (step, attempted.response) {
-            (NextStep::Deliver, Some(response)) => Decision::Deliver(Box::new(response)),
-            (NextStep::Deliver, None) => Decision::End(Code::TargetBroke),
-            (step, response) => {
-                self.fallback = response.or(self.fallback.take());
-                match step {
-                    NextStep::TryAgain { draws_on_budget } => Decision::TryAgain {
-                        draws_on_budget,
-                        otherwise,
-                    },
-                    NextStep::Await => Decision::Await,
-                    NextStep::Deliver | NextStep::End => Decision::End(otherwise),
-                }
-            }
-        }
-    }
-
-    /// Returns the code that ends the request when nothing better comes.
-    fn code(&self, end: AttemptEnd) -> Code {
-        if self.may_have_run {
-            return Code::TargetBroke;
-        }
-        match end {
-            AttemptEnd::NotRun => Code::TargetShed,
-            AttemptEnd::NeverSent => Code::NoTarget,
-            _ => Code::QueueFull,
-        }
-    }
-}
-
 fn at_usual_speed(took_us: u64, slowness_percent: u32) -> u64 {
     took_us * u64::from(USUAL_SLOWNESS_PERCENT) / u64::from(slowness_percent.max(1))
 }
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use crate::io::Io;
 use crate::links::Links;
 use crate::placement::Placer;
+use crate::planned_stop::PlannedStop;
 use crate::probe::Prober;
 use crate::{GatewaySettings, Platform, metrics};
 use axum::Router;
@@ -153,6 +154,13 @@
             events: events.clone(),
         };
         let host = settings.host.clone();
+        let stop = PlannedStop {
+            mode,
+            open,
+            forwarder,
+            grace_ms: settings.grace_ms,
+            since: None,
+        };
         let parts = ConductorParts {
             settings,
             board,
@@ -161,12 +169,10 @@
             fleet_writers,
             io,
             links,
-            forwarder,
+            stop,
             clock,
             incarnation: started.wall_ms.0,
             seed,
-            mode,
-            open,
         };
         let (exit, exited) = oneshot::channel();
         tokio::spawn(Conductor::new(parts, membership).run(receiver, exit));
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Platform`], which translates messages; nothing here knows their encoding, and nothing here
 //! decides what the `steering` crate can decide. See `docs/platform.md`.
 
+mod announcement;
 mod answer;
 mod attempt;
 mod call;
@@ -21,14 +22,20 @@
 mod io;
 mod links;
 mod metrics;
+mod move_desk;
+mod orders_chase;
 mod placement;
+mod planned_stop;
 mod platform;
 mod probe;
+mod progress;
 mod refusal;
+mod route_publisher;
 mod sent_log;
 mod settings;
 mod store_duty;
 mod story;
+mod target_desk;
 
 pub use answer::{AnswerBody, StreamedAnswer};
 pub use forward::Forwarder;
--- /dev/null
+++ b/crates/gateway/src/planned_stop.rs
@@ -0,0 +1,52 @@
+//! Carries out a planned stop.
+
+use crate::caller_server::{ListenMode, OpenConnections};
+use crate::forward::Forwarder;
+use heatherhinge_steering::{DrainNext, drain_next};
+use heatherhinge_types::MonoNs;
+use std::sync::Arc;
+use std::sync::atomic::Ordering;
+use tokio::sync::watch;
+
+/// What a planned stop acts on, and since when it goes on.
+#[derive(Debug)]
+pub(crate) struct PlannedStop {
+    pub(crate) mode: watch::Sender<ListenMode>,
+    pub(crate) open: Arc<OpenConnections>,
+    pub(crate) forwarder: Arc<Forwarder>,
+    pub(crate) grace_ms: u64,
+    pub(crate) since: Option<MonoNs>,
+}
+
+impl PlannedStop {
+    /// Begins the stop; returns whether it had not begun before.
+    pub(crate) fn begin(&mut self, now: MonoNs) -> bool {
+        if self.since.is_some() {
+            return false;
+        }
+        self.since = Some(now);
+        self.mode.send_replace(ListenMode::CloseAfterAnswer);
+        tracing::info!(
+            connections = self.open.count(),
+            "gateway: a planned stop begins"
+        );
+        true
+    }
+
+    /// Brings the stop forward and returns what the host does next.
+    pub(crate) fn step(&self, now: MonoNs) -> DrainNext {
+        let Some(since) = self.since else {
+            return DrainNext::Serve;
+        };
+        let connections = self.open.count();
+        let next = drain_next(since, now, self.grace_ms, connections);
+        if next != DrainNext::Serve {
+            self.forwarder.is_closed.store(true, Ordering::Release);
+            self.mode.send_replace(ListenMode::Closed);
+        }
+        if next == DrainNext::Exit {
+            tracing::info!(connections, "gateway: the planned stop is complete");
+        }
+        next
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/target_desk.rs
@@ -0,0 +1,85 @@
+//! Keeps the registrations and makes the routing snapshot of them.
+
+use crate::Platform;
+use heatherhinge_steering::{
+    AppliedChange, Replica, TableUpdate, TargetControl, TargetInputs, TargetTable,
+};
+use heatherhinge_types::{MonoNs, Name};
+use std::collections::BTreeSet;
+
+/// The copy of the registrations and what was decoded from it.
+#[derive(Debug, Default)]
+pub(crate) struct TargetDesk {
+    replica: Replica,
+    control: TargetControl,
+}
+
+impl TargetDesk {
+    pub(crate) const fn replica(&self) -> &Replica {
+        &self.replica
+    }
+
+    /// Returns the number of targets known.
+    pub(crate) fn len(&self) -> usize {
+        self.control.len()
+    }
+
+    /// Takes an update in and returns whether anything but signs of life has changed.
+    pub(crate) fn apply<P: Platform>(
+        &mut self,
+        update: &TableUpdate,
+        platform: &P,
+        now: MonoNs,
+    ) -> bool {
+        let before = self.replica.as_of();
+        let is_same = |before: &[u8], after: &[u8]| platform.is_same_target(before, after);
+        let applied = self.replica.apply(update, now, is_same);
+        let gap_ms = self.replica.as_of().ms_since(before);
+        for change in &applied {
+            self.apply_change(change, platform, gap_ms, now);
+        }
+        !applied.is_empty()
+    }
+
+    fn apply_change<P: Platform>(
+        &mut self,
+        change: &AppliedChange,
+        platform: &P,
+        gap_ms: u64,
+        now: MonoNs,
+    ) {
+        let Some(row) = &change.row else {
+            tracing::info!(target = %change.key, gap_ms, "targets: the entry is gone");
+            self.control.remove(&change.key, gap_ms, now);
+            return;
+        };
+        match platform.target(&change.key, &row.content) {
+            Ok(entry) => self.control.set(entry, now),
+            Err(error) => {
+                tracing::debug!(key = %change.key, "targets: an entry names no target: {error}");
+                self.control.remove(&change.key, 0, now);
+            }
+        }
+    }
+
+    /// Drops targets whose lapsed entries have not come back; returns whether any was dropped.
+    pub(crate) fn expire(&mut self, now: MonoNs) -> bool {
+        self.control.expire(now)
+    }
+
+    /// Makes the routing snapshot.
+    pub(crate) fn table(&self, inputs: &TargetInputs<'_>) -> TargetTable {
+        self.control.table(self.replica.version(), inputs)
+    }
+}
+
+/// Lists the targets that a routing snapshot uses.
+pub(crate) fn used_ids(table: &TargetTable) -> BTreeSet<Name> {
+    table
+        .pools
+        .values()
+        .flat_map(|pool| [&pool.current, &pool.moving])
+        .flat_map(|group| group.near.iter().chain(&group.far))
+        .map(|target| target.id().clone())
+        .collect()
+}
