--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -53,7 +53,7 @@
     /// Takes one repeat out of the budget, if there is room.
     ///
     /// `hosts` is the number of hosts known, gone ones included, which share the extra repeats.
-    /// Concurrent calls may overdraw by the number of threads, which [`USED_PERCENT`] covers.
+    /// Concurrent calls may overdraw by the number of threads, which the unused share covers.
     pub fn take_repeat(&self, now: MonoNs, hosts: usize) -> bool {
         let number = self.bin_number(now);
         let (requests, repeats) = self.sums(number);
