Remove unused functions and share the removal of hop-by-hop headers

A read of the change found functions that nothing calls, a figure that nothing decides on, and a second copy of the removal of headers about one connection. The data path of the product exports its own now.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -2,12 +2,13 @@
 
 use crate::WireHeaders;
 use crate::answer::{AnswerBody, StreamedAnswer};
-use crate::call::{Call, strip_hop_by_hop};
+use crate::call::Call;
 use crate::connection::{Connection, SendFault};
 use crate::in_flight::InFlight;
 use crate::links::Link;
 use crate::probe::text;
 use bytes::Bytes;
+use heatherhinge_proxy::strip_hop_by_hop;
 use heatherhinge_steering::{AttemptEnd, LoadFigure, Target};
 use heatherhinge_types::{MonoNs, Name};
 use http::header::{CONTENT_LENGTH, EXPECT};
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -6,7 +6,7 @@
 use heatherhinge_orders::{Route, RouteTable};
 use heatherhinge_steering::Cost;
 use heatherhinge_types::{Code, Digest, MonoNs, Name};
-use http::header::{CONNECTION, HOST, HeaderName, TE, TRAILER, TRANSFER_ENCODING, UPGRADE};
+use http::header::HOST;
 use http::request::Parts;
 use http::{HeaderMap, HeaderValue, Method};
 use http_body_util::{BodyExt, LengthLimitError, Limited};
@@ -26,8 +26,6 @@
 const UNKNOWN_TIME_PERCENT: u64 = 40;
 /// Objective of a route that states none, in milliseconds.
 const DEFAULT_OBJECTIVE_MS: u64 = 500;
-/// Headers about one connection that the library has no constant for.
-const HOP_BY_HOP_OLD: [&str; 3] = ["keep-alive", "proxy-connection", "proxy-authenticate"];
 
 /// When an answer is likely to come.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -150,23 +148,3 @@
     let parts = [host, head.method.as_str().as_bytes(), path.as_bytes(), body];
     Digest::of_parts(&parts).0 as u64
 }
-
-/// Removes the headers that are about one connection, those that `Connection` names included.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
-    let named: Vec<HeaderName> = headers
-        .get_all(CONNECTION)
-        .iter()
-        .filter_map(|value| value.to_str().ok())
-        .flat_map(|value| value.split(','))
-        .filter_map(|name| name.trim().parse().ok())
-        .collect();
-    for name in named {
-        headers.remove(name);
-    }
-    for name in [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE] {
-        headers.remove(name);
-    }
-    for name in HOP_BY_HOP_OLD {
-        headers.remove(name);
-    }
-}
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, HostStage, LineKind, MoveSample, RouteStat, Side, SteeringBoard, Target,
+    AttemptEnd, LineKind, MoveSample, RouteStat, Side, SteeringBoard, Target,
     USUAL_SLOWNESS_PERCENT,
 };
 use heatherhinge_types::{Code, MonoNs};
@@ -380,12 +380,6 @@
             }
         });
     }
-
-    /// Returns whether the host takes callers.
-    #[must_use]
-    pub fn is_ready(&self) -> bool {
-        self.board.stage() == HostStage::Ready
-    }
 }
 
 fn at_usual_speed(took_us: u64, slowness_percent: u32) -> u64 {
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -130,7 +130,6 @@
             return None;
         }
         let stated = text(headers, &self.headers.load).and_then(|text| text.parse().ok());
-        cell.set_silent_on_load(stated.is_none());
         Some(stated.unwrap_or_else(|| own_figure(target)))
     }
 }
--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -14,7 +14,7 @@
 const TRACEPARENT: &str = "traceparent";
 
 /// Removes the headers that are about one connection, those that `Connection` names included.
-pub(crate) fn strip_hop_by_hop(headers: &mut HeaderMap) {
+pub fn strip_hop_by_hop(headers: &mut HeaderMap) {
     let named: Vec<HeaderName> = headers
         .get_all(CONNECTION)
         .iter()
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -29,6 +29,7 @@
 pub use answer_body::{AnswerBody, ServerBody};
 pub use clock::Clock;
 pub use forward::{Proxy, ProxyParts};
+pub use headers::strip_hop_by_hop;
 pub use limits::Limits;
 pub use observer::{NullObserver, Observation, Observer, Sign};
 pub use peers::{NoPeers, Peers};
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -48,7 +48,7 @@
 pub use move_judge::{Verdict, judge};
 pub use move_state::{MoveStage, MoveState, RouteTally, Side, Tally};
 pub use probe_budget::{ProbeBudget, ProbeSupply};
-pub use rank::{Cost, Fit, cost, fit, usual_cost};
+pub use rank::{Cost, Fit, cost, fit};
 pub use rendezvous::{DutyRing, duty_holders, place};
 pub use replica::{AppliedChange, Replica, ReplicaRow, RowChange, TableUpdate};
 pub use retry_budget::{BudgetLimits, RetryBudget};
--- a/crates/steering/src/rank.rs
+++ b/crates/steering/src/rank.rs
@@ -61,9 +61,3 @@
         Fit::Good
     }
 }
-
-/// Returns the cost of a request at an idle target that works at its usual speed.
-#[must_use]
-pub const fn usual_cost() -> Cost {
-    Cost(USUAL_SLOWNESS_PERCENT as u64)
-}
--- a/crates/steering/src/target_cell.rs
+++ b/crates/steering/src/target_cell.rs
@@ -1,7 +1,7 @@
 //! What an entry host has seen of one target, as atomics.
 
 use heatherhinge_types::MonoNs;
-use std::sync::atomic::{AtomicBool, AtomicU32, AtomicU64, Ordering};
+use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
 /// What one failure adds to the cost of a target, in percent of its usual cost.
 const TROUBLE_STEP_PERCENT: u32 = 150;
@@ -19,7 +19,6 @@
     /// Trouble that the last failures left, and when it was last raised.
     trouble_percent: AtomicU32,
     trouble_at_ns: AtomicU64,
-    is_silent_on_load: AtomicBool,
     cold_tokens_at_ns: AtomicU64,
 }
 
@@ -96,17 +95,6 @@
         trouble.checked_shr(halvings).unwrap_or(0)
     }
 
-    /// Records whether the target states its load.
-    pub fn set_silent_on_load(&self, is_silent: bool) {
-        self.is_silent_on_load.store(is_silent, Ordering::Relaxed);
-    }
-
-    /// Returns whether the last health answer stated no load.
-    #[must_use]
-    pub fn is_silent_on_load(&self) -> bool {
-        self.is_silent_on_load.load(Ordering::Relaxed)
-    }
-
     /// Takes one request's worth of a cold target's allowance, if there is one.
     ///
     /// The allowance is a virtual schedule: requests are `interval_ns` apart on average, and at
