Ask for a clean end only of a host that takes callers

The log shows two starts after two kills and none for the third: the signal came before the process had logged its start, that is before its handlers were set up, and the system ended it. It had taken no request. Ruled out: a failed planned stop, which logs its beginning.

The soak notes whether the host was ready and asks for a clean end then.

--- a/crates/rehearsal/src/deployment.rs
+++ b/crates/rehearsal/src/deployment.rs
@@ -184,6 +184,11 @@
         Ok(())
     }
 
+    /// Returns whether a host takes callers.
+    pub async fn is_ready(&self, number: u8) -> bool {
+        is_ready(self.hosts.readiness_addr(number)).await
+    }
+
     /// Sets how all targets treat requests.
     pub fn set_targets(&self, mode: TargetMode) {
         for linked in &self.targets {
