Continue a paused host that is told to stop, in the soak

Its log shows that it was paused, got SIGTERM, stopped as planned 3 s after it went on, and that the soak had counted it as running before. Ruled out: the daemon, whose stop took 3 s and cut nothing. The soak lets such a host go on, and starts hosts that ended while it waits for them.

--- a/crates/rehearsal/src/deployment.rs
+++ b/crates/rehearsal/src/deployment.rs
@@ -178,6 +178,8 @@
             let number = self.hosts.hosts[index].number;
             while !is_ready(self.hosts.readiness_addr(number)).await {
                 ensure!(Instant::now() < until, "host {number} is not ready in time");
+                // A host that was told to stop may have ended meanwhile.
+                self.hosts.start(index)?;
                 self.run_for(Duration::from_millis(100)).await;
             }
         }
--- a/crates/rehearsal/src/soak.rs
+++ b/crates/rehearsal/src/soak.rs
@@ -247,6 +247,13 @@
         let is_ready = self.deployment.is_ready(number).await;
         self.note(format!("host {index}: SIGTERM, ready: {is_ready}"));
         self.deployment.hosts.hosts[index].signal(Signal::TERM);
+        // A host that is paused takes the signal when it goes on.
+        let is_pause = |(_, kind): &Undo| matches!(kind, UndoKind::Continue(of) if *of == index);
+        if self.undo.iter().any(is_pause) {
+            self.note(format!("host {index}: continued"));
+            self.deployment.hosts.hosts[index].signal(Signal::CONT);
+            self.undo.retain(|undo| !is_pause(undo));
+        }
         let ended = self.deployment.hosts.hosts[index].wait(STOP_TIMEOUT).await;
         // A process that has not set its signal handlers up yet is ended by the signal, and has
         // taken no request.
