Keep the gauge that a request's side was chosen by

A read of the change found that a request looked the pool of its service up again before its send and after its end, to count it for a move. When the orders changed in between, it was counted for another move than the one whose side it took. The placement hands the gauge on with the side now.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, LineKind, MoveSample, RouteStat, Side, SteeringBoard, Target,
+    AttemptEnd, LineKind, LoadFigure, MoveSample, RouteStat, SteeringBoard, Target,
     USUAL_SLOWNESS_PERCENT,
 };
 use heatherhinge_types::{Code, MonoNs};
@@ -264,12 +264,13 @@
             let Some((connection, link)) = placed.probed.take() else {
                 return Attempted::unplaced("the connection is gone");
             };
-            let side = placed.side;
+            let (side, gauge) = (placed.side, placed.gauge.take());
             let connection = match self.fit_for(call, &target, connection).await {
                 Ok(connection) => connection,
                 Err(cause) => return Attempted::unplaced(cause),
             };
-            let in_flight = self.begin(call, &target, side);
+            self.board.counts.sends.fetch_add(1, Ordering::Relaxed);
+            let in_flight = InFlight::begin(Arc::clone(&target), gauge.clone(), side);
             sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
             let outgoing = Outgoing {
@@ -280,7 +281,9 @@
             };
             let (end, response, cause) = outgoing.exchange(connection, link, in_flight).await;
             let took_us = self.clock.mono_ns().ns_since(started) / 1_000;
-            self.count_for_move(call, side, end, took_us, load.slowness_percent);
+            if let Some((gauge, sample)) = gauge.zip(move_sample(end, took_us, load)) {
+                gauge.count(&call.route.name, side, sample);
+            }
             Attempted {
                 end,
                 response,
@@ -313,38 +316,6 @@
             .map_err(|_| "no connection could be opened")
     }
 
-    fn begin(&self, call: &Call, target: &Arc<Target>, side: Side) -> InFlight {
-        self.board.counts.sends.fetch_add(1, Ordering::Relaxed);
-        let pools = self.board.targets.read();
-        let gauge = pools
-            .value
-            .pools
-            .get(&call.service)
-            .and_then(|pool| pool.gauge.clone());
-        InFlight::begin(Arc::clone(target), gauge, side)
-    }
-
-    fn count_for_move(
-        &self,
-        call: &Call,
-        side: Side,
-        end: AttemptEnd,
-        took_us: u64,
-        slowness_percent: u32,
-    ) {
-        let table = self.board.targets.read();
-        let pool = table.value.pools.get(&call.service);
-        let Some(gauge) = pool.and_then(|pool| pool.gauge.as_ref()) else {
-            return;
-        };
-        let sample = match end {
-            AttemptEnd::Answered => MoveSample::Good(at_usual_speed(took_us, slowness_percent)),
-            AttemptEnd::Failed | AttemptEnd::Broke => MoveSample::Bad,
-            AttemptEnd::Unplaced | AttemptEnd::NeverSent | AttemptEnd::NotRun => return,
-        };
-        gauge.count(&call.route.name, side, sample);
-    }
-
     /// Takes in what an attempt shows of its target and route.
     fn learn(&self, call: &Call, attempted: &Attempted, stat: Option<&RouteStat>) {
         let Some(target) = &attempted.target else {
@@ -382,6 +353,18 @@
     }
 }
 
+/// Returns how the end of an attempt counts for a move, if the target had the request.
+fn move_sample(end: AttemptEnd, took_us: u64, load: LoadFigure) -> Option<MoveSample> {
+    match end {
+        AttemptEnd::Answered => {
+            let usual_us = at_usual_speed(took_us, load.slowness_percent);
+            Some(MoveSample::Good(usual_us))
+        }
+        AttemptEnd::Failed | AttemptEnd::Broke => Some(MoveSample::Bad),
+        AttemptEnd::Unplaced | AttemptEnd::NeverSent | AttemptEnd::NotRun => None,
+    }
+}
+
 fn at_usual_speed(took_us: u64, slowness_percent: u32) -> u64 {
     took_us * u64::from(USUAL_SLOWNESS_PERCENT) / u64::from(slowness_percent.max(1))
 }
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -5,8 +5,8 @@
 use crate::sent_log::SentLog;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    Cost, Fit, LoadFigure, ProbeSupply, RoundSize, Side, SteeringBoard, Target, TargetGroup, cost,
-    fit, sample,
+    Cost, Fit, LoadFigure, MoveGauge, ProbeSupply, RoundSize, Side, SteeringBoard, Target,
+    TargetGroup, cost, fit, sample,
 };
 use heatherhinge_types::{Code, MonoNs};
 use rand_pcg::Pcg64Mcg;
@@ -28,15 +28,6 @@
 ];
 /// Targets asked while probes are scarce.
 const SCARCE_ROUNDS: &[RoundSize] = &[RoundSize { near: 1, far: 0 }, RoundSize { near: 1, far: 0 }];
-
-const fn rounds(supply: ProbeSupply, standard: Standard) -> &'static [RoundSize] {
-    match (standard, supply) {
-        (Standard::GoodOnly, _) => SCARCE_ROUNDS,
-        (Standard::Best, ProbeSupply::Ample) => AMPLE_ROUNDS,
-        (Standard::Best, ProbeSupply::Short) => SHORT_ROUNDS,
-        (Standard::Best, ProbeSupply::Scarce) => SCARCE_ROUNDS,
-    }
-}
 /// Longest time for a round that has had an answer. A target in another zone that needs a new
 /// connection takes about 7 ms.
 const ROUND_WAIT: Duration = Duration::from_millis(12);
@@ -52,6 +43,8 @@
 pub(crate) struct Placed {
     pub(crate) probed: Probed,
     pub(crate) side: Side,
+    /// The move that the side was chosen for, if one is under way.
+    pub(crate) gauge: Option<Arc<MoveGauge>>,
 }
 
 /// How choosy an attempt is.
@@ -108,7 +101,12 @@
             }
             let group = pool.group(side);
             if let Some(probed) = self.search(call, group, sent, standard, rng).await {
-                return Ok(Placed { probed, side });
+                let gauge = pool.gauge.clone();
+                return Ok(Placed {
+                    probed,
+                    side,
+                    gauge,
+                });
             }
             if standard == Standard::GoodOnly || self.clock.mono_ns() >= hold_until {
                 return Err(if group.is_empty() {
@@ -202,6 +200,16 @@
     }
 }
 
+/// Returns the rounds of a search.
+const fn rounds(supply: ProbeSupply, standard: Standard) -> &'static [RoundSize] {
+    match (standard, supply) {
+        (Standard::GoodOnly, _) => SCARCE_ROUNDS,
+        (Standard::Best, ProbeSupply::Ample) => AMPLE_ROUNDS,
+        (Standard::Best, ProbeSupply::Short) => SHORT_ROUNDS,
+        (Standard::Best, ProbeSupply::Scarce) => SCARCE_ROUNDS,
+    }
+}
+
 /// Returns whether a request is sent to a target that is not good. A late answer is worth little,
 /// so it may take slots that would stay empty, but neither a place in a queue, where it would make
 /// the ones behind it late, nor the last slots of a target that may soon be fast again.
