Let each host read the store itself after a restart

Hosts then learned routes and targets from the three seeds only, over links of 10 Mbit/s; with 1,524 added routes that took more than two seconds, and the seeds themselves start 0.3 s after the others.

Ruled out: the start of the processes (they listen 40 to 340 ms after the power is back) and the store (4 ms an answer).

Change: outside of the very first start, a host that has learned nothing after 80 ms reads the tables that it lacks. It takes up no duty, no extra repeats and no cold target until it knows the other hosts, because all hosts would else do so at once. A host that hears less than half of the hosts that it knows feeds no cold target either.

--- a/crates/gateway/src/announcement.rs
+++ b/crates/gateway/src/announcement.rs
@@ -16,6 +16,7 @@
 #[derive(Debug)]
 pub(crate) struct OwnFacts {
     pub(crate) stage: HostStage,
+    pub(crate) is_settled: bool,
     pub(crate) moves: Vec<MoveState>,
     pub(crate) crashes: Vec<CrashTally>,
     /// Requests of callers since the start.
@@ -70,6 +71,7 @@
             peer_addr: settings.peer_addr,
             zone: settings.zone.clone(),
             stage: facts.stage,
+            is_settled: facts.is_settled,
             requests_per_s: self.requests_per_s,
             capacity_milli: settings.capacity_milli,
             moves: facts.moves,
@@ -126,6 +128,7 @@
     };
     rate_changed
         || told.stage != state.stage
+        || told.is_settled != state.is_settled
         || told.crashes != state.crashes
         || stages(told) != stages(state)
         || (may_tell_tallies && tallies(told) != tallies(state))
--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -11,7 +11,7 @@
 use crate::orders_chase::OrdersChase;
 use crate::planned_stop::PlannedStop;
 use crate::route_publisher::publish_routes;
-use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
+use crate::store_duty::{Learning, StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
 use crate::target_desk::{TargetDesk, used_ids};
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable};
 use heatherhinge_proxy::Clock;
@@ -38,11 +38,16 @@
 const TICKS_PER_SYNC: u64 = 2;
 /// Hosts that are told at once of new orders. Each of them tells as many others.
 const TOLD_OF_ORDERS: usize = 4;
-/// Time after its start for which a host learns from others before it asks the store, in
-/// milliseconds. A fleet that starts at once would else make four calls for each host.
+/// Time after its start for which a host learns from others before it takes up its part in
+/// reading the store, in milliseconds. A fleet that starts at once would else make four calls for
+/// each host.
 const LEARN_MS: u64 = 1_000;
 /// Longest further time, drawn at random, in milliseconds.
 const LEARN_SPREAD_MS: u64 = 1_000;
+/// Time after a restart within which another host that is up has answered, in milliseconds. A
+/// host that has learned nothing by then reads the store: all may have lost power at once, and
+/// the few that would read for them cannot send everything to everyone over small links.
+const RESTART_LEARN_MS: u64 = 80;
 /// Time for which a host waits for registrations before it takes callers without, in
 /// milliseconds.
 const START_WAIT_MS: u64 = 2_500;
@@ -85,12 +90,19 @@
         let mut rng = Pcg64Mcg::seed_from_u64(parts.seed);
         let settings = &parts.settings;
         let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.peer_addr);
-        let learn_ms = if is_seed {
-            0
-        } else {
-            LEARN_MS + rng.random_range(0..LEARN_SPREAD_MS)
+        let learn_ms = LEARN_MS + rng.random_range(0..LEARN_SPREAD_MS);
+        let learning = match (is_seed, settings.is_first_start) {
+            (true, _) => Learning::default(),
+            (false, true) => Learning {
+                copies_ms: learn_ms,
+                duties_ms: learn_ms,
+            },
+            (false, false) => Learning {
+                copies_ms: RESTART_LEARN_MS,
+                duties_ms: learn_ms,
+            },
         };
-        let store_duty = StoreDuty::new(started, learn_ms, settings.leave_ms);
+        let store_duty = StoreDuty::new(started, learning, settings.leave_ms);
         Self {
             membership,
             orders: Replica::default(),
@@ -352,6 +364,7 @@
     fn sync(&mut self, now: MonoNs) {
         let facts = OwnFacts {
             stage: self.parts.board.stage(),
+            is_settled: self.membership.is_settled(now),
             moves: self.moves.states(now),
             crashes: self.crashes.tallies(),
             requests: self.parts.board.counts.requests.load(Ordering::Relaxed),
@@ -365,7 +378,8 @@
             let of = |host: &HostState| (host.host.clone(), host.stage);
             view.live.iter().map(of).collect()
         };
-        let has_changed = hosts(&before.value) != hosts(&fleet);
+        let has_changed =
+            hosts(&before.value) != hosts(&fleet) || before.value.is_settled != fleet.is_settled;
         if has_changed {
             tracing::info!(
                 live = fleet.live.len(),
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -230,7 +230,7 @@
     }
 
     fn take_repeat(&self, call: &Call) -> bool {
-        let hosts = self.board.fleet.read().value.known;
+        let hosts = self.board.fleet.read().value.budget_sharers();
         let budgets = self.board.budgets.read();
         let taken = budgets
             .value
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -97,6 +97,7 @@
             peer_addr: settings.peer_addr,
             zone: settings.zone.clone(),
             stage: HostStage::Starting,
+            is_settled: false,
             requests_per_s: 0,
             capacity_milli: settings.capacity_milli,
             moves: Vec::new(),
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -23,6 +23,8 @@
     pub metrics_addr: SocketAddr,
     /// Addresses of some other hosts; they may be out of date.
     pub seeds: Vec<SocketAddr>,
+    /// Whether all hosts start for the first time, so that no callers wait.
+    pub is_first_start: bool,
     /// Budget for sending requests once more.
     pub budget: BudgetLimits,
     /// Load probes that one target may get each second from all hosts together.
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -75,6 +75,15 @@
     ReadHosts,
 }
 
+/// For how long after its start a host leaves the store to others, in milliseconds.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Learning {
+    /// Time until it reads what it has no copy of.
+    pub(crate) copies_ms: u64,
+    /// Time until it reads for other hosts, keeps its copies fresh and registers.
+    pub(crate) duties_ms: u64,
+}
+
 /// How the store's availability has changed for this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreChange {
@@ -157,7 +166,8 @@
 pub(crate) struct StoreDuty {
     orders: TableDuty,
     targets: TableDuty,
-    learns_until: MonoNs,
+    copies_from: MonoNs,
+    duties_from: MonoNs,
     reader_age_ms: u64,
     follower_age_ms: u64,
     next_hosts_read: MonoNs,
@@ -167,13 +177,14 @@
 }
 
 impl StoreDuty {
-    /// Starts without calls. For `learn_ms` the host learns from others only; `leave_ms` is the
-    /// time within which a leaving target must get no more requests.
-    pub(crate) const fn new(now: MonoNs, learn_ms: u64, leave_ms: u64) -> Self {
+    /// Starts without calls; `leave_ms` is the time within which a leaving target must get no more
+    /// requests.
+    pub(crate) const fn new(now: MonoNs, learning: Learning, leave_ms: u64) -> Self {
         Self {
             orders: TableDuty::new(),
             targets: TableDuty::new(),
-            learns_until: now.plus_ms(learn_ms),
+            copies_from: now.plus_ms(learning.copies_ms),
+            duties_from: now.plus_ms(learning.duties_ms),
             reader_age_ms: leave_ms * READER_AGE_PERCENT / 100,
             follower_age_ms: leave_ms * FOLLOWER_AGE_PERCENT / 100,
             next_hosts_read: now,
@@ -217,7 +228,10 @@
     /// Returns the calls to make now.
     pub(crate) fn next(&mut self, facts: &StoreFacts, now: MonoNs) -> Vec<StoreCall> {
         let mut calls = Vec::new();
-        if now < self.learns_until {
+        if now < self.duties_from {
+            if now >= self.copies_from {
+                self.read_missing(facts, now, &mut calls);
+            }
             return calls;
         }
         let is_behind = facts.targets_age_ms >= self.follower_age_ms;
@@ -246,6 +260,16 @@
         }
         calls
     }
+
+    /// Reads the tables of which this host has no copy.
+    fn read_missing(&mut self, facts: &StoreFacts, now: MonoNs, calls: &mut Vec<StoreCall>) {
+        if facts.orders_version == 0 && self.orders.is_free(now) {
+            calls.push(self.orders.begin(StoredTable::Orders, 0, 0));
+        }
+        if facts.targets_version == 0 && self.targets.is_free(now) {
+            calls.push(self.targets.begin(StoredTable::Targets, 0, 0));
+        }
+    }
 }
 
 #[cfg(test)]
--- a/crates/gateway/tests/unit/store_duty.rs
+++ b/crates/gateway/tests/unit/store_duty.rs
@@ -17,7 +17,7 @@
 
 fn start() -> (StoreDuty, MonoNs) {
     let now = MonoNs::from_ms(10_000);
-    (StoreDuty::new(now, 0, LEAVE_MS), now)
+    (StoreDuty::new(now, Learning::default(), LEAVE_MS), now)
 }
 
 fn reads(calls: &[StoreCall], of: StoredTable) -> usize {
@@ -59,6 +59,40 @@
     assert_eq!(reads(&calls, StoredTable::Orders), 1);
 }
 
+// Guards against a fleet that waits for its few readers after all hosts have lost power, and
+// against one whose hosts all take up the readers' part at that moment.
+#[test]
+fn a_restarted_host_reads_only_what_it_lacks() {
+    let now = MonoNs::from_ms(10_000);
+    let learning = Learning {
+        copies_ms: 80,
+        duties_ms: 1_500,
+    };
+    let mut duty = StoreDuty::new(now, learning, LEAVE_MS);
+    let empty = StoreFacts {
+        is_alone: true,
+        orders_version: 0,
+        targets_version: 0,
+        ..facts(true, u64::MAX)
+    };
+    assert_eq!(duty.next(&empty, now.plus_ms(60)), []);
+    let calls = duty.next(&empty, now.plus_ms(120));
+    assert_eq!(reads(&calls, StoredTable::Targets), 1);
+    assert_eq!(reads(&calls, StoredTable::Orders), 1);
+    assert_eq!(calls.len(), 2);
+    duty.ended(StoredTable::Targets, None, now.plus_ms(150));
+    duty.ended(StoredTable::Orders, None, now.plus_ms(150));
+    let full = StoreFacts {
+        is_alone: true,
+        ..facts(true, 900)
+    };
+    assert_eq!(duty.next(&full, now.plus_ms(1_000)), []);
+    assert!(
+        duty.next(&full, now.plus_ms(1_500))
+            .contains(&StoreCall::Register)
+    );
+}
+
 // Guards against hundreds of calls while reads bring nothing newer: 8,232 calls were made on a day
 // on which the store dropped its history for 12 s.
 #[test]
--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -72,6 +72,8 @@
     pub zone: Name,
     /// Whether it takes callers.
     pub stage: HostStage,
+    /// Whether it has been up long enough to know the other hosts.
+    pub is_settled: bool,
     /// Requests of callers in the last second.
     pub requests_per_s: u32,
     /// Processor share in thousandths of a core; larger hosts take on more of the common duties.
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -13,6 +13,10 @@
 /// hosts that are gone for up to this long.
 const FORGET_MS: u64 = 30_000;
 
+/// Time after its start in which a host cannot know the others yet, in milliseconds. An exchange
+/// with a host that knows them ends it sooner.
+const SETTLE_MS: u64 = 2_000;
+
 /// Exchanges that stay within the zone, in percent.
 const NEAR_PERCENT: u32 = 75;
 /// Rounds of exchanges after which a host that is not heard is asked again, on average.
@@ -44,6 +48,7 @@
     keys: BTreeMap<u32, Name>,
     /// Addresses of hosts that were not heard yet, from settings and the store.
     leads: Vec<SocketAddr>,
+    started: MonoNs,
 }
 
 impl Membership {
@@ -60,9 +65,21 @@
             hosts: BTreeMap::from([(name, sighting)]),
             keys: BTreeMap::new(),
             leads: Vec::new(),
+            started: now,
         }
     }
 
+    /// Returns whether this host knows the others: it has heard one that does, or it has heard
+    /// some for a while. A host without any address of another one is a fleet of its own.
+    #[must_use]
+    pub fn is_settled(&self, now: MonoNs) -> bool {
+        let mut live = self.others().filter(|host| host.is_live(now)).peekable();
+        let is_lone_fleet = self.leads.is_empty() && self.hosts.len() == 1;
+        let has_waited = now.ms_since(self.started) >= SETTLE_MS;
+        (has_waited && (live.peek().is_some() || is_lone_fleet))
+            || live.any(|host| host.state.is_settled)
+    }
+
     /// Replaces the state of this host.
     pub fn set_own(&mut self, state: HostState, now: MonoNs) {
         let sighting = Sighting { state, heard: now };
@@ -203,6 +220,7 @@
         FleetView {
             live,
             known: self.hosts.len(),
+            is_settled: self.is_settled(now),
         }
     }
 }
@@ -214,9 +232,25 @@
     pub live: Vec<HostState>,
     /// Hosts known, those included that fell silent lately.
     pub known: usize,
+    /// Whether this host has been up long enough to know the others.
+    pub is_settled: bool,
 }
 
 impl FleetView {
+    /// Returns the number of hosts that share a budget of the fleet, `None` while this host cannot
+    /// tell. A fleet that restarts at once would else spend the budget once for each host.
+    #[must_use]
+    pub fn budget_sharers(&self) -> Option<usize> {
+        self.is_settled.then_some(self.known)
+    }
+
+    /// Returns whether this host hears most of the hosts that it knows. One that does not may be
+    /// cut off from a fleet which shares out duties without it.
+    #[must_use]
+    pub fn hears_most(&self) -> bool {
+        self.is_settled && self.live.len() * 2 >= self.known
+    }
+
     /// Lists the hosts that take callers.
     pub fn ready(&self) -> impl Iterator<Item = &HostState> {
         self.live
--- a/crates/steering/src/rendezvous.rs
+++ b/crates/steering/src/rendezvous.rs
@@ -12,7 +12,7 @@
 }
 
 impl DutyRing {
-    /// Hashes the hosts that take callers.
+    /// Hashes the hosts that take callers. A host that cannot know the others yet has no place.
     #[must_use]
     pub fn new(own: &Name, fleet: &FleetView) -> Self {
         let is_own = |host: &&HostState| host.host == *own;
@@ -21,9 +21,7 @@
             .filter(|host| !is_own(host))
             .map(|host| hash(&host.host));
         Self {
-            own: fleet
-                .ready()
-                .any(|host| host.host == *own)
+            own: (fleet.is_settled && fleet.ready().any(|host| host.host == *own))
                 .then(|| hash(own)),
             others: others.collect(),
         }
--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -52,14 +52,17 @@
 
     /// Takes one repeat out of the budget, if there is room.
     ///
-    /// `hosts` is the number of hosts known, gone ones included, which share the extra repeats.
-    /// Concurrent calls may overdraw by the number of threads, which the unused share covers.
-    pub fn take_repeat(&self, now: MonoNs, hosts: usize) -> bool {
+    /// `hosts` is the number of hosts known, gone ones included, which share the extra repeats;
+    /// while it is unknown there are none. Concurrent calls may overdraw by the number of threads,
+    /// which the unused share covers.
+    pub fn take_repeat(&self, now: MonoNs, hosts: Option<usize>) -> bool {
         let number = self.bin_number(now);
         let (requests, repeats) = self.sums(number);
-        let hosts = u64::try_from(hosts).unwrap_or(u64::MAX).max(1);
         let from_ratio = requests * self.limits.ratio_milli * USED_PERCENT / 100_000;
-        let from_extra = self.limits.extra * USED_PERCENT / 100 / hosts;
+        let from_extra = hosts.map_or(0, |hosts| {
+            let hosts = u64::try_from(hosts).unwrap_or(u64::MAX).max(1);
+            self.limits.extra * USED_PERCENT / 100 / hosts
+        });
         if repeats >= from_ratio + from_extra {
             return false;
         }
--- a/crates/steering/src/target_control.rs
+++ b/crates/steering/src/target_control.rs
@@ -117,6 +117,8 @@
     #[must_use]
     pub fn table(&self, stored_version: u64, inputs: &TargetInputs<'_>) -> TargetTable {
         let ring = DutyRing::new(inputs.host, inputs.fleet);
+        // Several hosts that were cut off would each feed every cold target.
+        let may_feed = inputs.fleet.hears_most();
         let mut pools: BTreeMap<Name, ServicePool> = BTreeMap::new();
         for known in self.targets.values() {
             let entry = &known.entry;
@@ -137,7 +139,8 @@
             } else {
                 &mut pool.current
             };
-            add(group, known, spec, &ring, inputs.zone);
+            let is_fed_here = may_feed && ring.place(&entry.id) == Some(0);
+            add(group, known, spec, is_fed_here, inputs.zone);
         }
         for pool in pools.values_mut() {
             for group in [&mut pool.current, &mut pool.moving] {
@@ -159,7 +162,7 @@
     group: &mut TargetGroup,
     known: &Registered,
     spec: &ServiceSpec,
-    ring: &DutyRing,
+    is_fed_here: bool,
     zone: &Name,
 ) {
     let entry = &known.entry;
@@ -167,7 +170,7 @@
         entry: Arc::clone(entry),
         health_path: spec.health_path.clone(),
         cold_interval_ns: cold_interval_ns(spec),
-        is_fed_here: ring.place(&entry.id) == Some(0),
+        is_fed_here,
         cell: Arc::clone(&known.cell),
     });
     if entry.zone == *zone {
--- a/crates/steering/tests/budgets.rs
+++ b/crates/steering/tests/budgets.rs
@@ -25,7 +25,7 @@
                 budget.count_request(now);
                 requests.push(ms);
             }
-            if budget.take_repeat(now, hosts) {
+            if budget.take_repeat(now, Some(hosts)) {
                 repeats.push(ms);
             }
         }
@@ -58,11 +58,26 @@
 fn many_hosts_share_the_extra_repeats() {
     let budget = RetryBudget::new(LIMITS);
     let now = MonoNs::from_ms(50_000);
-    assert!(!budget.take_repeat(now, 100));
-    let alone: usize = (0..100).filter(|_| budget.take_repeat(now, 1)).count();
+    assert!(!budget.take_repeat(now, Some(100)));
+    let alone: usize = (0..100)
+        .filter(|_| budget.take_repeat(now, Some(1)))
+        .count();
     assert!(alone <= 58, "{alone}");
 }
 
+// Guards against a fleet that restarts at once and whose hosts each take the extra repeats of all.
+#[test]
+fn an_unknown_fleet_has_no_extra_repeats() {
+    let budget = RetryBudget::new(LIMITS);
+    let now = MonoNs::from_ms(50_000);
+    assert!(!budget.take_repeat(now, None));
+    for _ in 0..10 {
+        budget.count_request(now);
+    }
+    let own = (0..100).filter(|_| budget.take_repeat(now, None)).count();
+    assert_eq!(own, 1, "the ratio of its own requests stays");
+}
+
 // Guards against more probes than the fleet may make over a day, whatever the share of a host in
 // the requests.
 #[test]
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -17,6 +17,7 @@
         peer_addr: ([127, 0, 0, number], 81).into(),
         zone: Name::new(zone),
         stage: HostStage::Ready,
+        is_settled: true,
         requests_per_s: 10,
         capacity_milli: 200,
         moves: Vec::new(),
@@ -28,6 +29,7 @@
     let live: Vec<HostState> = (1..=count).map(|number| host(number, "a")).collect();
     FleetView {
         known: live.len(),
+        is_settled: true,
         live,
     }
 }
--- a/crates/steering/tests/fleet.rs
+++ b/crates/steering/tests/fleet.rs
@@ -59,6 +59,44 @@
     assert!(!here.hear(old, start));
 }
 
+// Guards against hosts that restart at once and each take every duty and the whole retry budget,
+// because they know no other host yet.
+#[test]
+fn a_host_that_has_just_started_has_no_duties() {
+    let start = MonoNs::from_ms(1_000);
+    let own = Name::new("host-1");
+    let mut here = Membership::new(host(1, "a"), start);
+    here.add_lead(host(2, "a").peer_addr);
+    let view = here.view(start.plus_ms(100));
+    assert_eq!(place("a duty", &own, &view), None);
+    assert_eq!(view.budget_sharers(), None);
+    assert!(!here.is_settled(start.plus_ms(60_000)), "it hears nobody");
+
+    let mut young = host(2, "a");
+    young.is_settled = false;
+    here.hear(young, start.plus_ms(200));
+    assert!(!here.is_settled(start.plus_ms(300)));
+    assert!(here.is_settled(start.plus_ms(2_100)));
+
+    here.hear(host(3, "a"), start.plus_ms(400));
+    let view = here.view(start.plus_ms(400));
+    assert!(view.is_settled, "a host that knows the others was heard");
+    assert_eq!(view.budget_sharers(), Some(3));
+}
+
+// Guards against hosts that are cut off from the fleet and each feed every cold target, beside the
+// host that the others have chosen.
+#[test]
+fn a_host_that_hears_few_others_is_told_apart() {
+    let start = MonoNs::from_ms(1_000);
+    let mut here = Membership::new(host(1, "a"), start);
+    for number in 2..=6 {
+        here.hear(host(number, "a"), start);
+    }
+    assert!(here.view(start.plus_ms(2_200)).hears_most());
+    assert!(!here.view(start.plus_ms(5_000)).hears_most());
+}
+
 // Guards against hosts that never find each other again after a network partition.
 #[test]
 fn silent_hosts_are_asked_again() {
