Let the first reader read the store and keep idle connections as stated

Exchanges with readers mostly crossed zones. Idle connections were given up after 6 s although targets keep them for 10 s, and a host asks each target of its subset about every 2.5 s only.

Change: the other readers wait until the copy has 52% of the leave bound, the first reads at 30%. Readers are spread over zones, and a host asks the one of its own zone three times in four. A connection is kept for the time that the target states, less a second.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -11,7 +11,9 @@
 use crate::orders_chase::OrdersChase;
 use crate::planned_stop::PlannedStop;
 use crate::route_publisher::publish_routes;
-use crate::store_duty::{Learning, StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
+use crate::store_duty::{
+    Learning, StoreCall, StoreChange, StoreDuty, StoreFacts, reader_to_ask, store_readers,
+};
 use crate::target_desk::{TargetDesk, used_ids};
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable};
 use heatherhinge_proxy::Clock;
@@ -399,10 +401,10 @@
             self.publish_targets();
         }
         let mut partners = self.membership.partners(1, now, &mut self.rng);
-        let readers = self.other_readers();
-        if !readers.is_empty() {
-            partners.push(readers[self.rng.random_range(0..readers.len())]);
-        }
+        let settings = &self.parts.settings;
+        let fleet = self.parts.board.fleet.read_owned();
+        let reader = reader_to_ask(&fleet.value, &settings.host, &settings.zone, &mut self.rng);
+        partners.extend(reader);
         partners.extend(self.membership.lost_lead(now, &mut self.rng));
         partners.dedup();
         for addr in partners {
@@ -425,16 +427,6 @@
         }
     }
 
-    /// Returns the addresses of the other hosts that read the store for the fleet.
-    fn other_readers(&self) -> Vec<SocketAddr> {
-        let fleet = self.parts.board.fleet.read();
-        store_readers(&fleet.value)
-            .into_iter()
-            .filter(|host| host.host != self.parts.settings.host)
-            .map(|host| host.peer_addr)
-            .collect()
-    }
-
     /// Asks a host that has newer orders for them, unless another one is being asked.
     fn ask_for_orders(&mut self) {
         if let Some(addr) = self.chase.next() {
@@ -478,9 +470,9 @@
         let fleet = self.parts.board.fleet.read();
         let own = &settings.host;
         let facts = StoreFacts {
-            is_reader: store_readers(&fleet.value)
+            reader_place: store_readers(&fleet.value)
                 .iter()
-                .any(|host| host.host == *own),
+                .position(|host| host.host == *own),
             orders_behind_ms: self.chase.behind_ms(now),
             is_alone: !self.membership.others().any(|host| host.is_live(now)),
             orders_version: self.orders.version(),
--- a/crates/gateway/src/connection.rs
+++ b/crates/gateway/src/connection.rs
@@ -30,6 +30,8 @@
     driver: AbortHandle,
     /// When the last answer on it ended.
     pub(crate) idle_since: Instant,
+    /// How long the target keeps an idle connection, if it has stated that.
+    pub(crate) kept_for: Option<Duration>,
     /// When an answer to a caller's request last ended on it, as opposed to one to a probe.
     pub(crate) served_at: Option<Instant>,
 }
@@ -69,6 +71,7 @@
             sender,
             driver: driver.abort_handle(),
             idle_since: Instant::now(),
+            kept_for: None,
             served_at: None,
         })
     }
--- a/crates/gateway/src/links.rs
+++ b/crates/gateway/src/links.rs
@@ -13,8 +13,11 @@
 
 /// Idle connections that are kept for each target.
 const MAX_IDLE: usize = 12;
-/// Time after which an idle connection is not used again. Targets close them some seconds later.
+/// Time after which an idle connection is not used again, if the target has not stated how long
+/// it keeps one.
 const IDLE_LIMIT: Duration = Duration::from_secs(6);
+/// Time before the end that the target has stated at which a connection is not used again.
+const IDLE_MARGIN: Duration = Duration::from_secs(1);
 
 /// Idle connections of all targets.
 #[derive(Debug, Default)]
@@ -39,7 +42,10 @@
     pub(crate) fn take(&self) -> Option<Connection> {
         let now = Instant::now();
         while let Some(connection) = self.idle.pop() {
-            if connection.is_open() && now.duration_since(connection.idle_since) < IDLE_LIMIT {
+            let limit = connection
+                .kept_for
+                .map_or(IDLE_LIMIT, |kept| kept.saturating_sub(IDLE_MARGIN));
+            if connection.is_open() && now.duration_since(connection.idle_since) < limit {
                 return Some(connection);
             }
         }
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -14,6 +14,8 @@
 use tokio::sync::mpsc;
 use tokio::time::timeout;
 
+/// Header in which a target states how long it keeps an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
 /// Longest time for the answer to a probe. Healthy targets answer within a few milliseconds.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 /// Largest body of a health answer in bytes.
@@ -153,6 +155,7 @@
         .body(Full::<Bytes>::default())
         .map_err(|_| SendFault::NeverSent)?;
     let (head, body) = connection.send(request).await?.into_parts();
+    connection.kept_for = text(&head.headers, &KEEP_ALIVE).and_then(kept_for);
     Limited::new(body, HEALTH_BODY_BYTES)
         .collect()
         .await
@@ -160,6 +163,14 @@
     Ok((head.status, head.headers))
 }
 
+/// Reads the time for which a target keeps an idle connection from its `Keep-Alive` header.
+fn kept_for(keep_alive: &str) -> Option<Duration> {
+    let seconds = keep_alive
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    seconds.trim().parse().ok().map(Duration::from_secs)
+}
+
 /// Returns a header as text.
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -5,7 +5,9 @@
 
 use crate::{StoreFault, StoredTable};
 use heatherhinge_steering::{FleetView, HostState, duty_holders};
-use heatherhinge_types::MonoNs;
+use heatherhinge_types::{MonoNs, Name};
+use rand::{Rng, RngExt};
+use std::net::SocketAddr;
 
 /// Hosts for each further reader.
 const HOSTS_PER_READER: usize = 40;
@@ -14,11 +16,17 @@
 /// Time that a reader's watch for orders waits for a change, in milliseconds. It bounds the time
 /// for which a connection that has fallen silent goes unnoticed.
 const ORDERS_WAIT_MS: u64 = 2_500;
-/// Age of the registrations at which a reader reads them again, in percent of the time within
-/// which a leaving target must get no more requests.
-const READER_AGE_PERCENT: u64 = 36;
+/// Age of the registrations at which the first reader reads them again, in percent of the time
+/// within which a leaving target must get no more requests.
+const FIRST_AGE_PERCENT: u64 = 30;
+/// The same for the other readers, which have learned of the first one's read by then. Copies
+/// that all readers hold become old at the same moment, so all of them would else read at once.
+const RELIEF_AGE_PERCENT: u64 = 52;
 /// The same for any other host, which reads for itself then.
 const FOLLOWER_AGE_PERCENT: u64 = 70;
+/// Exchanges with a reader of the own zone, if there is one, in percent. Bytes between zones are
+/// dear, and a reader that is cut off from the store must not be the only one that is asked.
+const NEAR_READER_PERCENT: u32 = 75;
 /// Time after which a host reads orders from the store that another host is known to have, in
 /// milliseconds.
 const ORDERS_BEHIND_MS: u64 = 700;
@@ -37,17 +45,55 @@
 /// Pause between attempts to register this host, in milliseconds.
 const REGISTER_PAUSE_MS: u64 = 1_000;
 
-/// Returns the hosts that read the store for the fleet.
+/// Returns the hosts that read the store for the fleet, the first one first. They are spread over
+/// the zones as far as they go.
 pub(crate) fn store_readers(fleet: &FleetView) -> Vec<&HostState> {
     let count = MIN_READERS + fleet.live.len() / HOSTS_PER_READER;
-    duty_holders("store", count, fleet)
+    let holders = duty_holders("store", fleet.live.len(), fleet);
+    let (mut readers, mut others): (Vec<&HostState>, Vec<&HostState>) = (Vec::new(), Vec::new());
+    for holder in holders {
+        if readers.iter().any(|reader| reader.zone == holder.zone) {
+            others.push(holder);
+        } else {
+            readers.push(holder);
+        }
+    }
+    readers.extend(others);
+    readers.truncate(count);
+    readers
+}
+
+/// Returns the reader that this host exchanges states with next, if there is another one. Readers
+/// ask the first of them, which has the newest copies.
+pub(crate) fn reader_to_ask<R: Rng>(
+    fleet: &FleetView,
+    own: &Name,
+    zone: &Name,
+    rng: &mut R,
+) -> Option<SocketAddr> {
+    let readers = store_readers(fleet);
+    let others: Vec<&HostState> = readers
+        .iter()
+        .copied()
+        .filter(|reader| reader.host != *own)
+        .collect();
+    if others.len() < readers.len() {
+        return others.first().map(|first| first.peer_addr);
+    }
+    let near = others.iter().find(|reader| reader.zone == *zone);
+    let chosen = match near {
+        Some(near) if rng.random_range(0..100) < NEAR_READER_PERCENT => Some(near),
+        _ if others.is_empty() => None,
+        _ => others.get(rng.random_range(0..others.len())),
+    };
+    chosen.map(|reader| reader.peer_addr)
 }
 
 /// What the calls depend on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StoreFacts {
-    /// Whether this host reads for the fleet.
-    pub(crate) is_reader: bool,
+    /// The place of this host among those that read for the fleet, 0 the first.
+    pub(crate) reader_place: Option<usize>,
     /// Time for which another host is known to have newer orders, in milliseconds.
     pub(crate) orders_behind_ms: u64,
     /// Whether no other host is heard.
@@ -168,7 +214,8 @@
     targets: TableDuty,
     copies_from: MonoNs,
     duties_from: MonoNs,
-    reader_age_ms: u64,
+    first_age_ms: u64,
+    relief_age_ms: u64,
     follower_age_ms: u64,
     next_hosts_read: MonoNs,
     next_register: MonoNs,
@@ -185,7 +232,8 @@
             targets: TableDuty::new(),
             copies_from: now.plus_ms(learning.copies_ms),
             duties_from: now.plus_ms(learning.duties_ms),
-            reader_age_ms: leave_ms * READER_AGE_PERCENT / 100,
+            first_age_ms: leave_ms * FIRST_AGE_PERCENT / 100,
+            relief_age_ms: leave_ms * RELIEF_AGE_PERCENT / 100,
             follower_age_ms: leave_ms * FOLLOWER_AGE_PERCENT / 100,
             next_hosts_read: now,
             next_register: now,
@@ -234,23 +282,27 @@
             }
             return calls;
         }
+        let is_reader = facts.reader_place.is_some();
         let is_behind = facts.targets_age_ms >= self.follower_age_ms;
-        let targets_due =
-            is_behind || (facts.is_reader && facts.targets_age_ms >= self.reader_age_ms);
-        if targets_due && self.targets.is_free(now) {
+        let due_age_ms = match facts.reader_place {
+            Some(0) => self.first_age_ms,
+            Some(_) => self.relief_age_ms,
+            None => self.follower_age_ms,
+        };
+        if facts.targets_age_ms >= due_age_ms && self.targets.is_free(now) {
             let table = StoredTable::Targets;
             calls.push(self.targets.begin(table, facts.targets_version, 0));
         }
-        let orders_due = facts.is_reader
+        let orders_due = is_reader
             || is_behind
             || facts.orders_version == 0
             || facts.orders_behind_ms >= ORDERS_BEHIND_MS;
         if orders_due && self.orders.is_free(now) {
-            let wait_ms = if facts.is_reader { ORDERS_WAIT_MS } else { 0 };
+            let wait_ms = if is_reader { ORDERS_WAIT_MS } else { 0 };
             let table = StoredTable::Orders;
             calls.push(self.orders.begin(table, facts.orders_version, wait_ms));
         }
-        if (facts.is_reader || facts.is_alone) && !self.is_registered && now >= self.next_register {
+        if (is_reader || facts.is_alone) && !self.is_registered && now >= self.next_register {
             self.is_registered = true;
             calls.push(StoreCall::Register);
         }
