Send callers by what hosts carry and count late answers to probes

The refusals of a host come in groups right after large answers: an answer of 200 KB takes 160 ms on its link of 10 Mbit/s, and the probes' answers wait behind it. A round that ended without an answer dropped what came later. Second sends asked two targets only, found none in a third of the cases, and had taken their repeat out of the budget by then.

Ruled out: the processor (timers fired on time) and silent targets (the same targets answered other hosts at that moment).

Change: the directory draws hosts by processor share, or by bandwidth for names with large answers. All rounds of a search share one channel, and a request waits for late answers for up to half of its objective. Second sends ask three and three more targets while probes are ample. A repeat is taken when a target has been found.

--- a/crates/gateway/src/announcement.rs
+++ b/crates/gateway/src/announcement.rs
@@ -74,6 +74,7 @@
             is_settled: facts.is_settled,
             requests_per_s: self.requests_per_s,
             capacity_milli: settings.capacity_milli,
+            link_mbps: settings.link_mbps,
             moves: facts.moves,
             crashes: facts.crashes,
         };
--- a/crates/gateway/src/call.rs
+++ b/crates/gateway/src/call.rs
@@ -17,8 +17,8 @@
 
 /// Deadline of a request that states none, in milliseconds.
 const DEFAULT_DEADLINE_MS: u64 = 10_000;
-/// Part of the objective for which a request may be held while no target is good, as a divisor.
-const HOLD_DIVISOR: u64 = 8;
+/// Part of the objective for which a request may be held while no target is good, in percent.
+const HOLD_PERCENT: u64 = 12;
 /// Part of the time left that the expected time of an answer may take, in percent. The work of
 /// single requests differs from the usual.
 const FITS_PERCENT: u64 = 80;
@@ -62,9 +62,14 @@
 impl Call {
     /// Returns the time until which the request may be held without a target.
     pub(crate) fn hold_until(&self) -> MonoNs {
+        self.objective_part(HOLD_PERCENT)
+    }
+
+    /// Returns when a part of the objective is over, in percent.
+    pub(crate) fn objective_part(&self, percent: u64) -> MonoNs {
         let objective_ms = self.route.objective_ms.unwrap_or(DEFAULT_OBJECTIVE_MS);
         self.arrived
-            .plus_ms(objective_ms / HOLD_DIVISOR)
+            .plus_ms(objective_ms * percent / 100)
             .min(self.give_up)
     }
 
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -15,7 +15,7 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptEnd, LineKind, LoadFigure, MoveSample, RouteStat, SteeringBoard, Target,
+    AttemptEnd, LineKind, LoadFigure, MoveSample, RetryBudget, RouteStat, SteeringBoard, Target,
     USUAL_SLOWNESS_PERCENT,
 };
 use heatherhinge_types::{Code, MonoNs};
@@ -176,7 +176,7 @@
         let mut progress = Progress::default();
         let sent = SentLog::default();
         let mut attempts = FuturesUnordered::new();
-        attempts.push(self.attempt(call, Standard::Best, &sent));
+        attempts.push(self.attempt(call, Standard::Best, false, &sent));
         let give_up = tokio::time::sleep(Duration::from_nanos(call.give_up.ns_since(now)));
         tokio::pin!(give_up);
         let second_send = sleep_until(second_send_at(stat.as_deref()));
@@ -189,9 +189,9 @@
                     may_second_send = false;
                     let started = progress.started(attempts.len());
                     let may_send = started < call.route.max_attempts;
-                    if may_send && !sent.is_empty() && self.take_repeat(call) {
+                    if may_send && !sent.is_empty() && self.may_repeat(call) {
                         story.second_send();
-                        attempts.push(self.attempt(call, Standard::GoodOnly, &sent));
+                        attempts.push(self.attempt(call, Standard::GoodOnly, true, &sent));
                     }
                     continue;
                 }
@@ -215,10 +215,10 @@
                     draws_on_budget,
                     otherwise,
                 } => {
-                    if draws_on_budget && !self.take_repeat(call) {
+                    if draws_on_budget && !self.may_repeat(call) {
                         return progress.fallback.take().ok_or(otherwise);
                     }
-                    attempts.push(self.attempt(call, Standard::Best, &sent));
+                    attempts.push(self.attempt(call, Standard::Best, draws_on_budget, &sent));
                 }
             }
         }
@@ -229,23 +229,39 @@
         stats.value.get(&call.route.name).map(Arc::clone)
     }
 
+    /// Returns whether the budget has room for sending a request once more. The repeat is taken
+    /// when a target has been found.
+    fn may_repeat(&self, call: &Call) -> bool {
+        let sharers = self.board.fleet.read().value.budget_sharers();
+        self.with_budget(call, |budget| {
+            budget.has_room(self.clock.mono_ns(), sharers)
+        })
+    }
+
     fn take_repeat(&self, call: &Call) -> bool {
-        let hosts = self.board.fleet.read().value.budget_sharers();
-        let budgets = self.board.budgets.read();
-        let taken = budgets
-            .value
-            .get(&call.service)
-            .is_some_and(|budget| budget.take_repeat(self.clock.mono_ns(), hosts));
+        let sharers = self.board.fleet.read().value.budget_sharers();
+        let taken = self.with_budget(call, |budget| {
+            budget.take_repeat(self.clock.mono_ns(), sharers)
+        });
         if taken {
             self.board.counts.repeats.fetch_add(1, Ordering::Relaxed);
         }
         taken
     }
 
+    fn with_budget(&self, call: &Call, ask: impl FnOnce(&RetryBudget) -> bool) -> bool {
+        let budgets = self.board.budgets.read();
+        budgets
+            .value
+            .get(&call.service)
+            .is_some_and(|budget| ask(budget))
+    }
+
     fn attempt<'a>(
         &'a self,
         call: &'a Call,
         standard: Standard,
+        draws_on_budget: bool,
         sent: &'a SentLog,
     ) -> impl Future<Output = Attempted> + 'a {
         let number = self.sequence.fetch_add(1, Ordering::Relaxed);
@@ -269,6 +285,9 @@
                 Ok(connection) => connection,
                 Err(cause) => return Attempted::unplaced(cause),
             };
+            if draws_on_budget && !self.take_repeat(call) {
+                return Attempted::unplaced("the budget for repeats is spent");
+            }
             self.board.counts.sends.fetch_add(1, Ordering::Relaxed);
             let in_flight = InFlight::begin(Arc::clone(&target), gauge.clone(), side);
             sent.push(target.id().clone(), load);
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use crate::{GatewaySettings, Platform, metrics};
 use axum::Router;
 use heatherhinge_proxy::Clock;
-use heatherhinge_steering::{BeatId, HostStage, HostState, Membership, SteeringBoard};
+use heatherhinge_steering::{BeatId, Demand, HostStage, HostState, Membership, SteeringBoard};
 use heatherhinge_types::Digest;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -39,12 +39,17 @@
         self.board.stage() == HostStage::Ready
     }
 
-    /// Returns the addresses for a caller in a zone; empty while no host is known to be ready.
+    /// Returns the addresses for a caller in a zone that will ask for a host name; empty while no
+    /// host is known to be ready.
     #[must_use]
-    pub fn addresses(&self, zone: Option<&str>) -> Vec<SocketAddr> {
+    pub fn addresses(&self, name: Option<&str>, zone: Option<&str>) -> Vec<SocketAddr> {
         let seed = self.seed.fetch_add(1, Ordering::Relaxed);
         let mut rng = Pcg64Mcg::seed_from_u64(seed);
-        heatherhinge_steering::addresses(&self.board.fleet.read().value, zone, &mut rng)
+        let routes = self.board.routes.read();
+        let is_bulk = name.is_some_and(|name| routes.value.has_bulk(name));
+        let demand = if is_bulk { Demand::Bulk } else { Demand::Light };
+        let fleet = self.board.fleet.read();
+        heatherhinge_steering::addresses(&fleet.value, zone, demand, &mut rng)
     }
 }
 
@@ -100,6 +105,7 @@
             is_settled: false,
             requests_per_s: 0,
             capacity_milli: settings.capacity_milli,
+            link_mbps: settings.link_mbps,
             moves: Vec::new(),
             crashes: Vec::new(),
         };
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -1,7 +1,7 @@
 //! Finds the target for a request by asking a few for their load.
 
 use crate::call::{Call, Promise};
-use crate::probe::{Probed, Prober};
+use crate::probe::{ProbeAnswers, Probed, Prober};
 use crate::sent_log::SentLog;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
@@ -26,6 +26,9 @@
     RoundSize { near: 1, far: 1 },
     RoundSize { near: 2, far: 2 },
 ];
+/// Targets asked for a second send while probes are ample.
+const SECOND_SEND_ROUNDS: &[RoundSize] =
+    &[RoundSize { near: 3, far: 0 }, RoundSize { near: 2, far: 1 }];
 /// Targets asked while probes are scarce.
 const SCARCE_ROUNDS: &[RoundSize] = &[RoundSize { near: 1, far: 0 }, RoundSize { near: 1, far: 0 }];
 /// Longest time for a round that has had an answer. A target in another zone that needs a new
@@ -33,6 +36,9 @@
 const ROUND_WAIT: Duration = Duration::from_millis(12);
 /// Longest time for a round without an answer.
 const SILENT_ROUND_WAIT: Duration = Duration::from_millis(60);
+/// Part of the objective, in percent, for which answers to probes are waited for when no target
+/// has answered. A large answer on a small link holds up what comes after it for 100 ms and more.
+const LATE_PROBE_PERCENT: u64 = 50;
 /// Pause before a request is tried again that found no target.
 const RETRY_PAUSE: Duration = Duration::from_millis(15);
 /// Share of a target's slots, in percent, that late answers may take.
@@ -68,6 +74,7 @@
 struct Search {
     asked: Vec<Arc<Target>>,
     found: Vec<Probed>,
+    answers: ProbeAnswers,
 }
 
 impl Placer {
@@ -132,6 +139,7 @@
         let mut search = Search {
             asked: asked.cloned().collect(),
             found: Vec::new(),
+            answers: ProbeAnswers::new(),
         };
         for size in rounds(self.board.probes.supply(), standard) {
             let now = self.clock.mono_ns();
@@ -147,6 +155,9 @@
         if standard == Standard::GoodOnly {
             return None;
         }
+        if search.found.is_empty() {
+            self.await_late_answer(call, &mut search).await;
+        }
         let now = self.clock.mono_ns();
         search.found.retain(|probed| {
             let (fit, _) = self.rank(probed, now);
@@ -160,15 +171,28 @@
     async fn ask(&self, search: &mut Search, targets: &[Arc<Target>]) {
         self.board.probes.spend(targets.len());
         let started = Instant::now();
-        let mut answers = self.prober.ask(targets);
+        self.prober.ask(targets, &mut search.answers);
         search.asked.extend(targets.iter().cloned());
         let mut until = started + SILENT_ROUND_WAIT;
-        while let Ok(Some(probed)) = timeout_at(until, answers.recv()).await {
+        while let Ok(Some(probed)) = timeout_at(until, search.answers.next()).await {
             search.found.push(probed);
             until = started + ROUND_WAIT;
         }
     }
 
+    /// Waits for a late answer while the request can still be answered in time.
+    async fn await_late_answer(&self, call: &Call, search: &mut Search) {
+        let now = self.clock.mono_ns();
+        let left_ns = call.objective_part(LATE_PROBE_PERCENT).ns_since(now);
+        if search.answers.pending() == 0 || left_ns == 0 {
+            return;
+        }
+        let until = Instant::now() + Duration::from_nanos(left_ns);
+        if let Ok(Some(probed)) = timeout_at(until, search.answers.next()).await {
+            search.found.push(probed);
+        }
+    }
+
     /// Takes the target with the lowest cost among those that fit at least this well, and the
     /// token of a cold one.
     fn take_best(&self, search: &mut Search, worst: Fit) -> Option<Probed> {
@@ -203,6 +227,7 @@
 /// Returns the rounds of a search.
 const fn rounds(supply: ProbeSupply, standard: Standard) -> &'static [RoundSize] {
     match (standard, supply) {
+        (Standard::GoodOnly, ProbeSupply::Ample) => SECOND_SEND_ROUNDS,
         (Standard::GoodOnly, _) => SCARCE_ROUNDS,
         (Standard::Best, ProbeSupply::Ample) => AMPLE_ROUNDS,
         (Standard::Best, ProbeSupply::Short) => SHORT_ROUNDS,
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -61,22 +61,55 @@
     pub(crate) clock: Clock,
 }
 
+/// The probes of one search. Rounds share it, so that an answer to an earlier round still counts.
+#[derive(Debug)]
+pub(crate) struct ProbeAnswers {
+    sender: mpsc::UnboundedSender<Option<Probed>>,
+    receiver: mpsc::UnboundedReceiver<Option<Probed>>,
+    pending: usize,
+}
+
+impl ProbeAnswers {
+    pub(crate) fn new() -> Self {
+        let (sender, receiver) = mpsc::unbounded_channel();
+        Self {
+            sender,
+            receiver,
+            pending: 0,
+        }
+    }
+
+    /// Returns the probes that have not ended.
+    pub(crate) const fn pending(&self) -> usize {
+        self.pending
+    }
+
+    /// Waits until a target answers that may take the request; `None` when all probes have ended.
+    pub(crate) async fn next(&mut self) -> Option<Probed> {
+        while self.pending > 0 {
+            let ended = self.receiver.recv().await?;
+            self.pending -= 1;
+            if ended.is_some() {
+                return ended;
+            }
+        }
+        None
+    }
+}
+
 impl Prober {
-    /// Asks targets at the same time; answers arrive on the channel, which ends when all have
-    /// been asked. A probe that nobody waits for any more still returns its connection.
-    pub(crate) fn ask(self: &Arc<Self>, targets: &[Arc<Target>]) -> mpsc::Receiver<Probed> {
-        let (sender, receiver) = mpsc::channel(targets.len().max(1));
+    /// Asks targets at the same time. A probe that nobody waits for any more still returns its
+    /// connection.
+    pub(crate) fn ask(self: &Arc<Self>, targets: &[Arc<Target>], answers: &mut ProbeAnswers) {
+        answers.pending += targets.len();
         for target in targets {
             let (prober, target) = (Arc::clone(self), Arc::clone(target));
-            let sender = sender.clone();
+            let sender = answers.sender.clone();
             tokio::spawn(async move {
-                if let Some(probed) = prober.probe(target).await {
-                    // An error means that the request was placed already.
-                    sender.send(probed).await.ok();
-                }
+                // An error means that the request was placed already.
+                sender.send(prober.probe(target).await).ok();
             });
         }
-        receiver
     }
 
     async fn probe(&self, target: Arc<Target>) -> Option<Probed> {
@@ -175,3 +208,7 @@
 pub(crate) fn text<'a>(headers: &'a HeaderMap, name: &HeaderName) -> Option<&'a str> {
     headers.get(name)?.to_str().ok()
 }
+
+#[cfg(test)]
+#[path = "../tests/unit/probe.rs"]
+mod tests;
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -96,6 +96,8 @@
         match end {
             AttemptEnd::NotRun => Code::TargetShed,
             AttemptEnd::NeverSent => Code::NoTarget,
+            // A target with room has shed the request before.
+            _ if self.sends > 0 => Code::TargetShed,
             _ => Code::QueueFull,
         }
     }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -31,6 +31,8 @@
     pub probes_per_s: u64,
     /// Processor share of the host in thousandths of a core.
     pub capacity_milli: u32,
+    /// Bandwidth of the host's link in megabits a second.
+    pub link_mbps: u32,
     /// Time after which a target that is known to leave gets no new request, in milliseconds.
     pub leave_ms: u64,
     /// Time between the signal to stop and the kill, in milliseconds.
--- a/crates/gateway/tests/unit/store_duty.rs
+++ b/crates/gateway/tests/unit/store_duty.rs
@@ -68,6 +68,7 @@
         is_settled: true,
         requests_per_s: 0,
         capacity_milli: 200,
+        link_mbps: 1_000,
         moves: Vec::new(),
         crashes: Vec::new(),
     };
--- a/crates/orders/src/route_table.rs
+++ b/crates/orders/src/route_table.rs
@@ -1,6 +1,6 @@
 //! All routes and services of one configuration.
 
-use crate::{CallerLimits, Route, ServiceSpec};
+use crate::{CallerLimits, RequestKind, Route, ServiceSpec};
 use heatherhinge_types::Name;
 use std::collections::BTreeMap;
 use std::sync::Arc;
@@ -61,6 +61,14 @@
         None
     }
 
+    /// Returns whether a host name has a route with large answers.
+    #[must_use]
+    pub fn has_bulk(&self, host: &str) -> bool {
+        self.routes
+            .get(host)
+            .is_some_and(|routes| routes.values().any(|route| route.kind == RequestKind::Bulk))
+    }
+
     /// Lists all routes.
     pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
         self.routes.values().flat_map(BTreeMap::values)
--- a/crates/rehearsal/src/deployment.rs
+++ b/crates/rehearsal/src/deployment.rs
@@ -3,7 +3,7 @@
 use crate::callers::Callers;
 use crate::hosts::Hosts;
 use crate::ledger::Ledger;
-use crate::link::Link;
+use crate::link::{Link, LinkMode};
 use crate::store::Store;
 use crate::target::{Target, TargetMode, TargetSpec};
 use eyre::{WrapErr, ensure};
@@ -198,6 +198,13 @@
         }
     }
 
+    /// Sets what the links between hosts and targets do.
+    pub fn set_links(&self, mode: LinkMode) {
+        for linked in &self.targets {
+            linked.link.set_mode(mode);
+        }
+    }
+
     /// Returns callers for this deployment.
     #[must_use]
     pub fn callers(&self) -> Callers {
--- a/crates/rehearsal/src/hosts.rs
+++ b/crates/rehearsal/src/hosts.rs
@@ -201,7 +201,7 @@
             "directory": addr(net, number, DIRECTORY_PORT),
             "control": addr(net, number, PEER_PORT),
         },
-        "limits": {"cpu_share": 0.2},
+        "limits": {"cpu_share": 0.2, "link_mbps": 1000.0},
         "bounds": [
             "drain=2000ms", "grace=6s", "retry_budget_ratio=0.2", "budget_window=10s",
             "budget_extra=58", "probes_per_s=60",
--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -78,6 +78,8 @@
     pub requests_per_s: u32,
     /// Processor share in thousandths of a core; larger hosts take on more of the common duties.
     pub capacity_milli: u32,
+    /// Bandwidth of the host's link in megabits a second.
+    pub link_mbps: u32,
     /// Moves that it takes part in.
     pub moves: Vec<MoveState>,
     /// Crashes that it has counted lately.
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -36,7 +36,7 @@
 pub use attempt::{AttemptEnd, AttemptFacts, NextStep, after_attempt};
 pub use board::{Counts, SteeringBoard, SteeringWriters};
 pub use crash_watch::CrashWatch;
-pub use directory::addresses;
+pub use directory::{Demand, addresses};
 pub use drain::{DrainNext, drain_next};
 pub use host_state::{Beat, BeatId, CrashTally, HostStage, HostState, KnownState};
 pub use latency::{LATENCY_BOUNDS_MS, Latency};
--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -56,18 +56,24 @@
     /// while it is unknown there are none. Concurrent calls may overdraw by the number of threads,
     /// which the unused share covers.
     pub fn take_repeat(&self, now: MonoNs, hosts: Option<usize>) -> bool {
+        if !self.has_room(now, hosts) {
+            return false;
+        }
         let number = self.bin_number(now);
-        let (requests, repeats) = self.sums(number);
+        add(&self.bin(number).repeats, number);
+        true
+    }
+
+    /// Returns whether a repeat may be taken.
+    #[must_use]
+    pub fn has_room(&self, now: MonoNs, hosts: Option<usize>) -> bool {
+        let (requests, repeats) = self.sums(self.bin_number(now));
         let from_ratio = requests * self.limits.ratio_milli * USED_PERCENT / 100_000;
         let from_extra = hosts.map_or(0, |hosts| {
             let hosts = u64::try_from(hosts).unwrap_or(u64::MAX).max(1);
             self.limits.extra * USED_PERCENT / 100 / hosts
         });
-        if repeats >= from_ratio + from_extra {
-            return false;
-        }
-        add(&self.bin(number).repeats, number);
-        true
+        repeats < from_ratio + from_extra
     }
 
     fn sums(&self, number: u64) -> (u64, u64) {
--- a/crates/steering/tests/common/mod.rs
+++ b/crates/steering/tests/common/mod.rs
@@ -20,6 +20,7 @@
         is_settled: true,
         requests_per_s: 10,
         capacity_milli: 200,
+        link_mbps: 1_000,
         moves: Vec::new(),
         crashes: Vec::new(),
     }
--- a/crates/steering/tests/fleet.rs
+++ b/crates/steering/tests/fleet.rs
@@ -4,8 +4,8 @@
 
 use common::{fleet, host};
 use heatherhinge_steering::{
-    BeatId, CrashTally, CrashWatch, DrainNext, HostStage, Membership, addresses, drain_next,
-    duty_holders, place,
+    BeatId, CrashTally, CrashWatch, Demand, DrainNext, HostStage, Membership, addresses,
+    drain_next, duty_holders, place,
 };
 use heatherhinge_types::{MonoNs, Name};
 use rand::SeedableRng;
@@ -156,17 +156,44 @@
     }
     view.live[5].stage = HostStage::Starting;
     let mut rng = Pcg64Mcg::seed_from_u64(4);
-    let near = addresses(&view, Some("a"), &mut rng);
+    let near = addresses(&view, Some("a"), Demand::Light, &mut rng);
     assert_eq!(near.len(), 3);
     assert!(
         near.iter()
             .all(|addr| view.live[..3].iter().any(|h| h.caller_addr == *addr))
     );
-    let few = addresses(&view, Some("b"), &mut rng);
+    let few = addresses(&view, Some("b"), Demand::Light, &mut rng);
     assert_eq!(few.len(), 3);
     assert!(!few.contains(&view.live[5].caller_addr));
 }
 
+// Guards against callers that are spread evenly over hosts of unequal size, and against large
+// answers on small links: probes waited behind them, and requests found no target for 180 ms.
+#[test]
+fn larger_hosts_are_named_more_often() {
+    let mut view = fleet(43);
+    for host in &mut view.live[2..] {
+        host.link_mbps = 10;
+        host.capacity_milli = 100;
+    }
+    for host in &mut view.live[..2] {
+        host.capacity_milli = 500;
+    }
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    let mut share_of_two = |demand| -> f64 {
+        let large: Vec<_> = view.live[..2].iter().map(|host| host.caller_addr).collect();
+        let shares = (0..2_000).map(|_| {
+            let answer = addresses(&view, Some("a"), demand, &mut rng);
+            let named = answer.iter().filter(|addr| large.contains(addr)).count();
+            named as f64 / answer.len() as f64
+        });
+        shares.sum::<f64>() / 2_000.0
+    };
+    let (light, bulk) = (share_of_two(Demand::Light), share_of_two(Demand::Bulk));
+    assert!((0.12..0.22).contains(&light), "{light}");
+    assert!(bulk > 0.5, "{bulk}");
+}
+
 // Guards against one host that waits for all crashes of a request itself.
 #[test]
 fn crashes_are_summed_over_hosts() {
