Tell other hosts what has changed since the last exchange

Cause: each exchange carried a list of all states, 6 KB at 300 hosts. The rate of requests counted as content, and on small hosts it changes with nearly every beat.

Change: a host numbers the changes of what it knows and tells another one what came after the number that it has; the first exchange of two hosts lists what is known. Rates go with the beats, which are 700 ms apart. A message may have 8 MB: 5,000 registrations did not fit into one.

--- a/crates/gateway/src/announcement.rs
+++ b/crates/gateway/src/announcement.rs
@@ -6,11 +6,11 @@
 
 /// Shortest time over which requests are counted for a rate, in milliseconds.
 const COUNT_INTERVAL_MS: u64 = 250;
-/// Beats after which a change of the counts of a move is told, so that they are told at most
-/// about every 600 ms.
-const BEATS_PER_TALLY: u32 = 2;
-/// Change of the request rate that is told, in percent.
-const RATE_CHANGE_PERCENT: u32 = 25;
+/// Shortest time between two changes of the counts of a move that are told, in milliseconds.
+const TALLY_INTERVAL_MS: u64 = 550;
+/// Time between beats of a host whose state stays the same, in milliseconds. A host counts as dead
+/// after three of them, less the time that a beat takes to arrive.
+const BEAT_INTERVAL_MS: u64 = 700;
 
 /// What goes into the next state.
 #[derive(Debug)]
@@ -32,6 +32,8 @@
     requests_per_s: u32,
     requests_before: u64,
     counted_at: MonoNs,
+    beat_at: MonoNs,
+    tallied_at: MonoNs,
 }
 
 impl Announcement {
@@ -43,6 +45,8 @@
             requests_per_s: 0,
             requests_before: 0,
             counted_at: now,
+            beat_at: now,
+            tallied_at: now,
         }
     }
 
@@ -51,14 +55,14 @@
         self.told.as_ref()
     }
 
-    /// Makes the next state, with a new revision if its content is new.
+    /// Makes the next state, with a new revision if its content is new, and a new beat then or when
+    /// one is due.
     pub(crate) fn next(
         &mut self,
         settings: &GatewaySettings,
         facts: OwnFacts,
         now: MonoNs,
     ) -> HostState {
-        self.beat += 1;
         self.count_requests(facts.requests, now);
         let mut state = HostState {
             host: settings.host.clone(),
@@ -78,15 +82,23 @@
             moves: facts.moves,
             crashes: facts.crashes,
         };
-        if let Some(told) = &self.told {
-            let may_tell_tallies = self.beat.is_multiple_of(BEATS_PER_TALLY);
-            state.revision = told.revision;
-            if is_news(told, &state, may_tell_tallies) {
-                state.revision += 1;
-            } else {
-                state.requests_per_s = told.requests_per_s;
+        let may_tell_tallies = now.ms_since(self.tallied_at) >= TALLY_INTERVAL_MS;
+        let mut is_due = now.ms_since(self.beat_at) >= BEAT_INTERVAL_MS;
+        match &self.told {
+            Some(told) if !is_news(told, &state, may_tell_tallies) => {
+                state.revision = told.revision;
                 state.moves.clone_from(&told.moves);
             }
+            told => {
+                state.revision = told.as_ref().map_or(0, |told| told.revision + 1);
+                self.tallied_at = now;
+                is_due = true;
+            }
+        }
+        if is_due {
+            self.beat += 1;
+            self.beat_at = now;
+            state.id.beat = self.beat;
         }
         self.told = Some(state.clone());
         state
@@ -107,10 +119,9 @@
     }
 }
 
-/// Returns whether a state says more than the one that was told last.
+/// Returns whether a state says more than the one that was told last. The rate of requests goes
+/// with the beats.
 fn is_news(told: &HostState, state: &HostState, may_tell_tallies: bool) -> bool {
-    let (old, new) = (told.requests_per_s, state.requests_per_s);
-    let rate_changed = old.abs_diff(new) * 100 > old.max(4) * RATE_CHANGE_PERCENT;
     let stages = |state: &HostState| -> Vec<_> {
         let of = |known: &MoveState| {
             let in_flight = known.current_in_flight > 0;
@@ -127,8 +138,7 @@
         let of = |known: &MoveState| known.routes.clone();
         state.moves.iter().map(of).collect()
     };
-    rate_changed
-        || told.stage != state.stage
+    told.stage != state.stage
         || told.is_settled != state.is_settled
         || told.crashes != state.crashes
         || stages(told) != stages(state)
--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -2,18 +2,18 @@
 
 use crate::announcement::{Announcement, OwnFacts};
 use crate::events::GatewayEvent;
+use crate::exchanges::Exchanges;
 use crate::fleet_board::{FleetBoard, FleetWriters};
 use crate::fleet_service::SyncAnswer;
 use crate::intake::OrderBook;
 use crate::io::Io;
+use crate::learning::Learning;
 use crate::links::Links;
 use crate::move_desk::MoveDesk;
 use crate::orders_chase::OrdersChase;
 use crate::planned_stop::PlannedStop;
 use crate::route_publisher::publish_routes;
-use crate::store_duty::{
-    Learning, StoreCall, StoreChange, StoreDuty, StoreFacts, reader_to_ask, store_readers,
-};
+use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
 use crate::target_desk::{TargetDesk, used_ids};
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable};
 use heatherhinge_proxy::Clock;
@@ -22,7 +22,7 @@
     SteeringWriters, TableUpdate, TargetInputs,
 };
 use heatherhinge_types::{MonoNs, Name};
-use rand::{RngExt, SeedableRng};
+use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -38,18 +38,6 @@
 const START_TICK: Duration = Duration::from_millis(60);
 /// Steps between exchanges with other hosts.
 const TICKS_PER_SYNC: u64 = 2;
-/// Hosts that are told at once of new orders. Each of them tells as many others.
-const TOLD_OF_ORDERS: usize = 4;
-/// Time after its start for which a host learns from others before it takes up its part in
-/// reading the store, in milliseconds. A fleet that starts at once would else make four calls for
-/// each host.
-const LEARN_MS: u64 = 1_000;
-/// Longest further time, drawn at random, in milliseconds.
-const LEARN_SPREAD_MS: u64 = 1_000;
-/// Time after a restart within which another host that is up has answered, in milliseconds. A
-/// host that has learned nothing by then reads the store: all may have lost power at once, and
-/// the few that would read for them cannot send everything to everyone over small links.
-const RESTART_LEARN_MS: u64 = 80;
 /// Time for which a host waits for registrations before it takes callers without, in
 /// milliseconds.
 const START_WAIT_MS: u64 = 2_500;
@@ -80,6 +68,7 @@
     crashes: CrashWatch,
     announcement: Announcement,
     chase: OrdersChase,
+    exchanges: Exchanges,
     store_duty: StoreDuty,
     rng: Pcg64Mcg,
     started: MonoNs,
@@ -92,18 +81,7 @@
         let mut rng = Pcg64Mcg::seed_from_u64(parts.seed);
         let settings = &parts.settings;
         let is_seed = settings.seeds.is_empty() || settings.seeds.contains(&settings.peer_addr);
-        let learn_ms = LEARN_MS + rng.random_range(0..LEARN_SPREAD_MS);
-        let learning = match (is_seed, settings.is_first_start) {
-            (true, _) => Learning::default(),
-            (false, true) => Learning {
-                copies_ms: learn_ms,
-                duties_ms: learn_ms,
-            },
-            (false, false) => Learning {
-                copies_ms: RESTART_LEARN_MS,
-                duties_ms: learn_ms,
-            },
-        };
+        let learning = Learning::new(is_seed, settings.is_first_start, &mut rng);
         let store_duty = StoreDuty::new(started, learning, settings.leave_ms);
         Self {
             membership,
@@ -114,6 +92,7 @@
             crashes: CrashWatch::default(),
             announcement: Announcement::new(parts.incarnation, started),
             chase: OrdersChase::default(),
+            exchanges: Exchanges::default(),
             store_duty,
             rng,
             started,
@@ -153,14 +132,16 @@
         match event {
             GatewayEvent::Stored { table, result } => self.stored(table, result),
             GatewayEvent::Synced {
+                addr,
                 wanted_orders,
                 answer,
             } => {
                 if wanted_orders {
                     self.chase.ended();
                 }
-                if let Some(answer) = answer {
-                    self.synced(*answer);
+                match answer {
+                    Some(answer) => self.synced(addr, *answer),
+                    None => self.exchanges.was_silent(addr, self.now()),
                 }
                 self.ask_for_orders();
             }
@@ -257,7 +238,8 @@
             self.parts.seed,
         );
         self.publish_targets();
-        for addr in self.membership.partners(TOLD_OF_ORDERS, now, &mut self.rng) {
+        // Each neighbour tells its own, so that all hosts know within a few exchanges.
+        for addr in self.membership.neighbours(now).concat() {
             self.ask(addr);
         }
     }
@@ -308,13 +290,16 @@
         }
     }
 
-    fn synced(&mut self, answer: SyncAnswer) {
+    fn synced(&mut self, addr: SocketAddr, answer: SyncAnswer) {
+        self.exchanges.took_in(addr, answer.marker);
         for state in answer.states {
             self.heard(state);
         }
         let now = self.now();
         for beat in answer.beats {
-            self.membership.hear_beat(beat, now);
+            if !self.membership.hear_beat(beat, now) {
+                self.exchanges.lacks_states(addr);
+            }
         }
         if let Some(update) = answer.orders {
             self.apply_orders(&update);
@@ -400,13 +385,13 @@
         if has_changed {
             self.publish_targets();
         }
-        let mut partners = self.membership.partners(1, now, &mut self.rng);
-        let settings = &self.parts.settings;
         let fleet = self.parts.board.fleet.read_owned();
-        let reader = reader_to_ask(&fleet.value, &settings.host, &settings.zone, &mut self.rng);
-        partners.extend(reader);
-        partners.extend(self.membership.lost_lead(now, &mut self.rng));
-        partners.dedup();
+        let settings = &self.parts.settings;
+        let own = (&settings.host, &settings.zone);
+        let (membership, rng) = (&self.membership, &mut self.rng);
+        let partners = self
+            .exchanges
+            .partners(membership, &fleet.value, own, now, rng);
         for addr in partners {
             self.ask(addr);
         }
@@ -441,7 +426,12 @@
         };
         let wants_orders = self.chase.begin(self.orders.version() > 0);
         let board = &self.parts.fleet_board;
-        let request = board.request(own.clone(), wants_orders, self.parts.clock.mono_ns());
+        let request = board.request(
+            own.clone(),
+            self.exchanges.marker(addr),
+            wants_orders,
+            self.parts.clock.mono_ns(),
+        );
         self.parts.io.sync(addr, request);
     }
 
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -21,6 +21,8 @@
     },
     /// An exchange that this host began has ended.
     Synced {
+        /// Address of the other host.
+        addr: SocketAddr,
         /// Whether it could have brought orders.
         wanted_orders: bool,
         /// What the other host answered, if it did in time.
--- a/crates/gateway/src/fleet_board.rs
+++ b/crates/gateway/src/fleet_board.rs
@@ -3,7 +3,7 @@
 use crate::events::{EventSender, GatewayEvent};
 use crate::fleet_service::{NO_ORDERS, SyncAnswer, SyncRequest};
 use heatherhinge_blackboard::{Reader, Writer, entry};
-use heatherhinge_steering::{Membership, Replica};
+use heatherhinge_steering::{Marker, Membership, Replica, Told};
 use heatherhinge_types::MonoNs;
 use std::sync::Arc;
 
@@ -51,13 +51,17 @@
     pub(crate) fn request(
         &self,
         own: heatherhinge_steering::HostState,
+        marker: Option<Marker>,
         wants_orders: bool,
         now: MonoNs,
     ) -> SyncRequest {
         let (orders, targets) = (self.orders.read(), self.targets.read());
         SyncRequest {
             own,
-            digest: self.membership.read().value.digest(),
+            told: match marker {
+                Some(marker) => Told::Since(marker),
+                None => Told::States(self.membership.read().value.known_states(now)),
+            },
             orders_version: orders.value.version(),
             orders_changed: if wants_orders {
                 orders.value.changed_version()
@@ -72,7 +76,9 @@
 
     /// Answers an exchange.
     pub(crate) fn answer(&self, request: SyncRequest, now: MonoNs) -> SyncAnswer {
-        let (states, beats) = self.membership.read().value.newer_than(&request.digest);
+        let membership = self.membership.read();
+        let (states, beats) = membership.value.lacking(&request.told, now);
+        let marker = membership.value.marker();
         let orders = self.orders.read();
         let orders = (orders.value.changed_version() > request.orders_changed)
             .then(|| orders.value.update_since(request.orders_version, now));
@@ -85,6 +91,7 @@
             orders_told: request.orders_told,
         });
         SyncAnswer {
+            marker,
             states,
             beats,
             orders,
--- a/crates/gateway/src/fleet_service.rs
+++ b/crates/gateway/src/fleet_service.rs
@@ -3,7 +3,7 @@
 use crate::fleet_board::FleetBoard;
 use futures_util::StreamExt;
 use heatherhinge_proxy::Clock;
-use heatherhinge_steering::{Beat, HostState, KnownState, TableUpdate};
+use heatherhinge_steering::{Beat, HostState, Marker, TableUpdate, Told};
 use heatherhinge_types::Code;
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
@@ -22,8 +22,8 @@
 use tokio_serde::formats::Bincode;
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 
-/// Largest message in bytes; a whole configuration fits well.
-const MAX_FRAME_BYTES: usize = 1 << 20;
+/// Largest message in bytes. 5,000 registrations take about 1.3 MB.
+const MAX_FRAME_BYTES: usize = 8 << 20;
 /// Longest time for an exchange, the time to connect included.
 const SYNC_TIMEOUT: Duration = Duration::from_millis(400);
 /// Longest time for an exchange that may bring orders. A configuration of some hundred kilobytes
@@ -47,8 +47,8 @@
 pub(crate) struct SyncRequest {
     /// State of the asking host.
     pub own: HostState,
-    /// States that it has.
-    pub digest: Vec<KnownState>,
+    /// What it has of the states of hosts.
+    pub told: Told,
     /// Version of its copy of the orders.
     pub orders_version: u64,
     /// Version of the newest change in it, or [`NO_ORDERS`].
@@ -64,6 +64,8 @@
 /// What the asking host lacks.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(crate) struct SyncAnswer {
+    /// What the asking host will have taken in with this answer.
+    pub marker: Marker,
     /// States of hosts whose content has changed.
     pub states: Vec<HostState>,
     /// Beats of the other hosts.
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -55,6 +55,7 @@
             let wanted_orders = request.orders_changed != NO_ORDERS;
             let answer = fleet.sync(addr, request).await.map(Box::new);
             Some(GatewayEvent::Synced {
+                addr,
                 wanted_orders,
                 answer,
             })
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -3,11 +3,10 @@
 //! Calls are dear, so a few hosts read for all of them and the others learn from these. Every host
 //! reads for itself as soon as what it has learned is too old for the promises that rest on it.
 
+use crate::learning::Learning;
 use crate::{StoreFault, StoredTable};
 use heatherhinge_steering::{FleetView, HostState, duty_holders};
-use heatherhinge_types::{MonoNs, Name};
-use rand::{Rng, RngExt};
-use std::net::SocketAddr;
+use heatherhinge_types::MonoNs;
 
 /// Hosts for each further reader.
 const HOSTS_PER_READER: usize = 40;
@@ -24,9 +23,6 @@
 const RELIEF_AGE_PERCENT: u64 = 52;
 /// The same for any other host, which reads for itself then.
 const FOLLOWER_AGE_PERCENT: u64 = 70;
-/// Exchanges with a reader of the own zone, if there is one, in percent. Bytes between zones are
-/// dear, and a reader that is cut off from the store must not be the only one that is asked.
-const NEAR_READER_PERCENT: u32 = 75;
 /// Time after which a host reads orders from the store that another host is known to have, in
 /// milliseconds.
 const ORDERS_BEHIND_MS: u64 = 700;
@@ -63,32 +59,6 @@
     readers
 }
 
-/// Returns the reader that this host exchanges states with next, if there is another one. Readers
-/// ask the first of them, which has the newest copies.
-pub(crate) fn reader_to_ask<R: Rng>(
-    fleet: &FleetView,
-    own: &Name,
-    zone: &Name,
-    rng: &mut R,
-) -> Option<SocketAddr> {
-    let readers = store_readers(fleet);
-    let others: Vec<&HostState> = readers
-        .iter()
-        .copied()
-        .filter(|reader| reader.host != *own)
-        .collect();
-    if others.len() < readers.len() {
-        return others.first().map(|first| first.peer_addr);
-    }
-    let near = others.iter().find(|reader| reader.zone == *zone);
-    let chosen = match near {
-        Some(near) if rng.random_range(0..100) < NEAR_READER_PERCENT => Some(near),
-        _ if others.is_empty() => None,
-        _ => others.get(rng.random_range(0..others.len())),
-    };
-    chosen.map(|reader| reader.peer_addr)
-}
-
 /// What the calls depend on.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct StoreFacts {
@@ -121,15 +91,6 @@
     ReadHosts,
 }
 
-/// For how long after its start a host leaves the store to others, in milliseconds.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Learning {
-    /// Time until it reads what it has no copy of.
-    pub(crate) copies_ms: u64,
-    /// Time until it reads for other hosts, keeps its copies fresh and registers.
-    pub(crate) duties_ms: u64,
-}
-
 /// How the store's availability has changed for this host.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(crate) enum StoreChange {
--- /dev/null
+++ b/crates/gateway/tests/unit/exchanges.rs
@@ -0,0 +1,80 @@
+//! Which hosts exchange states, and with what.
+
+use super::*;
+use heatherhinge_steering::{BeatId, HostStage};
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+
+fn view(zones: &[&str]) -> FleetView {
+    let host = |(number, zone): (usize, &&str)| HostState {
+        host: Name::from(format!("host-{number}")),
+        id: BeatId {
+            incarnation: 1,
+            beat: 1,
+        },
+        revision: 0,
+        caller_addr: ([127, 0, 0, 1], 80).into(),
+        peer_addr: ([127, 0, 0, 1], u16::try_from(number).unwrap_or(0)).into(),
+        zone: Name::new(zone),
+        stage: HostStage::Ready,
+        is_settled: true,
+        requests_per_s: 0,
+        capacity_milli: 200,
+        link_mbps: 1_000,
+        moves: Vec::new(),
+        crashes: Vec::new(),
+    };
+    FleetView {
+        live: zones.iter().enumerate().map(host).collect(),
+        known: zones.len(),
+        is_settled: true,
+    }
+}
+
+// Guards against readers that all stand in one zone, so that the hosts of the others pay for bytes
+// between zones with every exchange.
+#[test]
+fn readers_are_spread_over_zones_and_asked_in_their_own() {
+    let fleet = view(&["a", "a", "a", "b", "b", "c"]);
+    let readers = store_readers(&fleet);
+    assert_eq!(readers.len(), 2);
+    assert_ne!(readers[0].zone, readers[1].zone);
+
+    let exchanges = Exchanges::default();
+    let mut rng = Pcg64Mcg::seed_from_u64(5);
+    let (first, second) = (readers[0], readers[1]);
+    let asked = exchanges.reader_to_ask(&fleet, &second.host, &second.zone, &mut rng);
+    assert_eq!(asked, Some(first.peer_addr), "a reader asks the first one");
+    let follower = Name::new("host-9");
+    let mut ask = || exchanges.reader_to_ask(&fleet, &follower, &second.zone, &mut rng);
+    let near = (0..100).filter(|_| ask() == Some(second.peer_addr)).count();
+    assert!((75..100).contains(&near), "{near}");
+    let alone = view(&["a"]);
+    let own = Name::new("host-0");
+    let asked = exchanges.reader_to_ask(&alone, &own, &Name::new("a"), &mut rng);
+    assert_eq!(asked, None);
+}
+
+// Guards against hosts that go on asking a reader that has died until it is forgotten, and hear
+// nothing of the fleet meanwhile.
+#[test]
+fn a_silent_reader_is_passed_over_for_a_while() {
+    let fleet = view(&["a", "a", "a", "b", "b", "c"]);
+    let readers = store_readers(&fleet);
+    let (dead, other) = (readers[0], readers[1]);
+    let mut exchanges = Exchanges::default();
+    let now = MonoNs::from_ms(10_000);
+    exchanges.was_silent(dead.peer_addr, now);
+    let mut rng = Pcg64Mcg::seed_from_u64(6);
+    let follower = Name::new("host-9");
+    for _ in 0..50 {
+        let asked = exchanges.reader_to_ask(&fleet, &follower, &dead.zone, &mut rng);
+        assert_eq!(asked, Some(other.peer_addr));
+    }
+    let own = view(&["a"]).live.remove(0);
+    let membership = Membership::new(own, now);
+    let names = (&follower, &dead.zone);
+    let later = now.plus_ms(SILENCE_MS);
+    exchanges.partners(&membership, &fleet, names, later, &mut rng);
+    assert!(!exchanges.silent.contains_key(&dead.peer_addr));
+}
--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -25,18 +25,36 @@
     pub beat: u32,
 }
 
-/// Says in a few bytes which state of a host is known. A fleet of 130 hosts exchanges several
-/// hundred lists of these each second.
+/// Names a change of what a host knows of the fleet. A host that has taken everything in up to it
+/// is told what came later; with lists of all states instead, each exchange of a fleet of 300 hosts
+/// took 6 KB.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Marker {
+    /// Wall time of the start of the process that counted the change, in Unix milliseconds.
+    pub incarnation: u64,
+    /// Number of the change.
+    pub change: u64,
+}
+
+/// Names a state whose content a host has.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct KnownState {
     /// Names the host and its incarnation.
     pub key: u32,
-    /// Newest beat.
-    pub beat: u32,
     /// Revision of the content.
     pub revision: u32,
 }
 
+/// What an asking host has already, so that it is told the rest.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Told {
+    /// Everything up to a change of the asked host.
+    Since(Marker),
+    /// These states. A host that asks another one for the first time lists them, because the
+    /// states of 120 hosts take 23 KB.
+    States(Vec<KnownState>),
+}
+
 /// A beat of a host whose content has not changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beat {
@@ -44,6 +62,8 @@
     pub key: u32,
     /// Newest beat.
     pub beat: u32,
+    /// Requests of callers in the last second.
+    pub requests_per_s: u16,
 }
 
 /// Targets that one request has crashed, as one host has counted them.
@@ -93,14 +113,4 @@
         let incarnation = self.id.incarnation.to_le_bytes();
         Digest::of_parts(&[self.host.as_bytes(), &incarnation]).0 as u32
     }
-
-    /// Returns which state this is.
-    #[must_use]
-    pub fn known(&self) -> KnownState {
-        KnownState {
-            key: self.key(),
-            beat: self.id.beat,
-            revision: self.revision,
-        }
-    }
 }
--- a/crates/steering/src/lib.rs
+++ b/crates/steering/src/lib.rs
@@ -38,7 +38,7 @@
 pub use crash_watch::CrashWatch;
 pub use directory::{Demand, addresses};
 pub use drain::{DrainNext, drain_next};
-pub use host_state::{Beat, BeatId, CrashTally, HostStage, HostState, KnownState};
+pub use host_state::{Beat, BeatId, CrashTally, HostStage, HostState, KnownState, Marker, Told};
 pub use latency::{LATENCY_BOUNDS_MS, Latency};
 pub use load_figure::{LoadFigure, LoadFigureError, USUAL_SLOWNESS_PERCENT};
 pub use log_budget::{LineKind, LogBudget};
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -1,8 +1,10 @@
 //! Which hosts there are, from what they tell each other.
 
-use crate::{Beat, HostStage, HostState, KnownState};
+use crate::rendezvous::pair_weight;
+use crate::{Beat, HostStage, HostState, KnownState, Marker, Told};
 use heatherhinge_types::{MonoNs, Name};
 use rand::{Rng, RngExt};
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 
@@ -17,8 +19,13 @@
 /// with a host that knows them ends it sooner.
 const SETTLE_MS: u64 = 2_000;
 
-/// Exchanges that stay within the zone, in percent.
+/// Exchanges with neighbours that stay within the zone, in percent.
 const NEAR_PERCENT: u32 = 75;
+/// Neighbours in the own zone. A random graph of this degree is connected as long as most hosts
+/// live.
+const NEAR_NEIGHBOURS: usize = 4;
+/// Neighbours in other zones.
+const FAR_NEIGHBOURS: usize = 2;
 /// Rounds of exchanges after which a host that is not heard is asked again, on average.
 const LEAD_ROUNDS: u32 = 6;
 
@@ -29,6 +36,12 @@
     pub state: HostState,
     /// When that state arrived.
     pub heard: MonoNs,
+    /// Short name of the host's incarnation.
+    key: u32,
+    /// Number of the change that brought the content of the state.
+    content_change: u64,
+    /// Number of the change that brought its newest beat.
+    beat_change: u64,
 }
 
 impl Sighting {
@@ -49,24 +62,24 @@
     /// Addresses of hosts that were not heard yet, from settings and the store.
     leads: Vec<SocketAddr>,
     started: MonoNs,
+    /// Counts what has changed here. Other hosts ask for what came after a change that they have.
+    changes: u64,
 }
 
 impl Membership {
     /// Starts with this host alone.
     #[must_use]
     pub fn new(own: HostState, now: MonoNs) -> Self {
-        let name = own.host.clone();
-        let sighting = Sighting {
-            state: own,
-            heard: now,
-        };
-        Self {
-            own: name.clone(),
-            hosts: BTreeMap::from([(name, sighting)]),
+        let mut membership = Self {
+            own: own.host.clone(),
+            hosts: BTreeMap::new(),
             keys: BTreeMap::new(),
             leads: Vec::new(),
             started: now,
-        }
+            changes: 0,
+        };
+        membership.put(own, now);
+        membership
     }
 
     /// Returns whether this host knows the others: it has heard one that does, or it has heard
@@ -82,8 +95,28 @@
 
     /// Replaces the state of this host.
     pub fn set_own(&mut self, state: HostState, now: MonoNs) {
-        let sighting = Sighting { state, heard: now };
-        self.hosts.insert(self.own.clone(), sighting);
+        self.put(state, now);
+    }
+
+    /// Stores a state and numbers the change.
+    fn put(&mut self, state: HostState, now: MonoNs) {
+        let before = self.hosts.get(&state.host);
+        let is_same_content = before.is_some_and(|before| {
+            before.state.id.incarnation == state.id.incarnation
+                && before.state.revision == state.revision
+        });
+        let is_same_beat = before.is_some_and(|before| before.state.id == state.id);
+        let old = before.map_or((0, 0), |before| (before.content_change, before.beat_change));
+        self.changes += u64::from(!(is_same_content && is_same_beat));
+        let change = |is_same, old| if is_same { old } else { self.changes };
+        let sighting = Sighting {
+            key: state.key(),
+            heard: now,
+            content_change: change(is_same_content, old.0),
+            beat_change: change(is_same_beat, old.1),
+            state,
+        };
+        self.hosts.insert(sighting.state.host.clone(), sighting);
     }
 
     /// Adds an address at which a host may answer.
@@ -102,24 +135,28 @@
         }
         self.leads.retain(|lead| *lead != state.peer_addr);
         self.keys.insert(state.key(), state.host.clone());
-        let sighting = Sighting { state, heard: now };
-        self.hosts.insert(sighting.state.host.clone(), sighting);
+        self.put(state, now);
         true
     }
 
-    /// Takes in a beat of a host whose state is known.
-    pub fn hear_beat(&mut self, beat: Beat, now: MonoNs) {
-        let Some(name) = self.keys.get(&beat.key) else {
-            return;
+    /// Takes in a beat; returns whether the state that it belongs to is known.
+    pub fn hear_beat(&mut self, beat: Beat, now: MonoNs) -> bool {
+        let known = self
+            .keys
+            .get(&beat.key)
+            .and_then(|name| self.hosts.get_mut(name))
+            .filter(|known| known.key == beat.key);
+        let Some(known) = known else {
+            return false;
         };
-        if let Some(known) = self.hosts.get_mut(name)
-            && *name != self.own
-            && known.state.key() == beat.key
-            && known.state.id.beat < beat.beat
-        {
+        if known.state.host != self.own && known.state.id.beat < beat.beat {
+            self.changes += 1;
             known.state.id.beat = beat.beat;
+            known.state.requests_per_s = u32::from(beat.requests_per_s);
+            known.beat_change = self.changes;
             known.heard = now;
         }
+        true
     }
 
     /// Forgets hosts that have been silent for long.
@@ -129,60 +166,100 @@
             .retain(|name, host| *name == own || now.ms_since(host.heard) < FORGET_MS);
         let hosts = &self.hosts;
         self.keys
-            .retain(|key, name| hosts.get(name).is_some_and(|host| host.state.key() == *key));
+            .retain(|key, name| hosts.get(name).is_some_and(|host| host.key == *key));
     }
 
-    /// Lists which state of each host is known here.
+    /// Returns the mark up to which a host that takes everything in from here now is told.
     #[must_use]
-    pub fn digest(&self) -> Vec<KnownState> {
-        self.hosts.values().map(|host| host.state.known()).collect()
+    pub fn marker(&self) -> Marker {
+        let own = self.hosts.get(&self.own);
+        Marker {
+            incarnation: own.map_or(0, |own| own.state.id.incarnation),
+            change: self.changes,
+        }
+    }
+
+    /// Lists the states of live hosts that are known here.
+    #[must_use]
+    pub fn known_states(&self, now: MonoNs) -> Vec<KnownState> {
+        let live = self.hosts.values().filter(|host| host.is_live(now));
+        live.map(|host| KnownState {
+            key: host.key,
+            revision: host.state.revision,
+        })
+        .collect()
     }
 
-    /// Returns what is newer here than in a digest: whole states where the content has changed,
-    /// else beats.
+    /// Returns what a host lacks: whole states where the content is new to it, else beats. A mark
+    /// of another incarnation of this host counts as none. Hosts that are silent are left out,
+    /// because the asking host would take them for live ones.
     #[must_use]
-    pub fn newer_than(&self, digest: &[KnownState]) -> (Vec<HostState>, Vec<Beat>) {
-        let known: BTreeMap<u32, KnownState> =
-            digest.iter().map(|known| (known.key, *known)).collect();
+    pub fn lacking(&self, told: &Told, now: MonoNs) -> (Vec<HostState>, Vec<Beat>) {
+        let here = self.marker();
+        let (since, known) = match told {
+            Told::Since(marker) if marker.incarnation == here.incarnation => {
+                (marker.change, BTreeMap::new())
+            }
+            Told::Since(_) => (0, BTreeMap::new()),
+            Told::States(states) => {
+                let by_key = states.iter().map(|state| (state.key, state.revision));
+                (0, by_key.collect())
+            }
+        };
         let (mut states, mut beats) = (Vec::new(), Vec::new());
-        for host in self.hosts.values() {
-            let here = host.state.known();
-            match known.get(&here.key) {
-                Some(there) if there.revision >= here.revision => {
-                    if there.beat < here.beat {
-                        beats.push(Beat {
-                            key: here.key,
-                            beat: here.beat,
-                        });
-                    }
-                }
-                _ => states.push(host.state.clone()),
+        let is_told = |host: &&Sighting| host.state.host == self.own || host.is_live(now);
+        for host in self.hosts.values().filter(is_told) {
+            let revision = known.get(&host.key);
+            let has_content = revision.is_some_and(|known| *known >= host.state.revision);
+            if host.content_change > since && !has_content {
+                states.push(host.state.clone());
+            } else if host.beat_change > since {
+                beats.push(Beat {
+                    key: host.key,
+                    beat: host.state.id.beat,
+                    requests_per_s: u16::try_from(host.state.requests_per_s).unwrap_or(u16::MAX),
+                });
             }
         }
         (states, beats)
     }
 
-    /// Picks live hosts at random to exchange states with. Hosts of the own zone are preferred,
-    /// because bytes between zones are dear.
-    pub fn partners<R: Rng>(&self, count: usize, now: MonoNs, rng: &mut R) -> Vec<SocketAddr> {
-        let is_near_only = rng.random_range(0..100) < NEAR_PERCENT;
+    /// Picks one of this host's neighbours at random to exchange states with. Neighbours of the own
+    /// zone are preferred, because bytes between zones are dear.
+    pub fn neighbour<R: Rng>(&self, now: MonoNs, rng: &mut R) -> Option<SocketAddr> {
+        let [near, far] = self.neighbours(now);
+        let is_near = far.is_empty() || rng.random_range(0..100) < NEAR_PERCENT;
+        let open = if is_near && !near.is_empty() {
+            near
+        } else {
+            far
+        };
+        (!open.is_empty()).then(|| open[rng.random_range(0..open.len())])
+    }
+
+    /// Lists the live hosts that come first for this one by rendezvous hashing, those of its own
+    /// zone and the others. They are few, because the first exchange with a host carries the
+    /// states of all.
+    #[must_use]
+    pub fn neighbours(&self, now: MonoNs) -> [Vec<SocketAddr>; 2] {
         let zone = self.hosts.get(&self.own).map(|own| own.state.zone.clone());
-        let live = self.others().filter(|host| host.is_live(now));
-        let (near, far): (Vec<_>, Vec<_>) =
-            live.partition(|host| Some(&host.state.zone) == zone.as_ref());
-        let mut open: Vec<SocketAddr> = match (is_near_only, near.len() >= count) {
-            (true, true) => near.iter().map(|host| host.state.peer_addr).collect(),
-            _ => near
+        let mut live: Vec<&HostState> = self
+            .others()
+            .filter(|host| host.is_live(now))
+            .map(|host| &host.state)
+            .collect();
+        live.sort_by_cached_key(|host| Reverse(pair_weight(&self.own, &host.host)));
+        let (near, far): (Vec<_>, Vec<_>) = live
+            .into_iter()
+            .partition(|host| Some(&host.zone) == zone.as_ref());
+        let first = |hosts: Vec<&HostState>, count| -> Vec<SocketAddr> {
+            hosts
                 .iter()
-                .chain(&far)
-                .map(|host| host.state.peer_addr)
-                .collect(),
+                .take(count)
+                .map(|host| host.peer_addr)
+                .collect()
         };
-        let mut partners = Vec::with_capacity(count + 1);
-        while partners.len() < count && !open.is_empty() {
-            partners.push(open.swap_remove(rng.random_range(0..open.len())));
-        }
-        partners
+        [first(near, NEAR_NEIGHBOURS), first(far, FAR_NEIGHBOURS)]
     }
 
     /// Picks an address at which a host may answer that is not heard at the moment: always while
--- a/crates/steering/src/rendezvous.rs
+++ b/crates/steering/src/rendezvous.rs
@@ -49,6 +49,11 @@
     Digest::of(text.as_bytes()).0 as u64
 }
 
+/// Returns how early a host comes for another one among its neighbours.
+pub(crate) fn pair_weight(own: &str, other: &str) -> u64 {
+    weight(hash(own), hash(other))
+}
+
 /// Mixes a duty and a host; the finalizer of the SplitMix64 generator spreads every input bit.
 const fn weight(duty: u64, host: u64) -> u64 {
     let mut mixed = duty ^ host.rotate_left(32);
