Read the settings file again while a host runs

Cause: the platform's settings file changes, at times without a signal, and the daemon read it at its start only; SIGHUP was logged and had no effect.

Budgets, bounds, seeds and the host's size come into force and what has been counted stays; names and addresses need a restart and are logged.

--- a/crates/gateway/src/announcement.rs
+++ b/crates/gateway/src/announcement.rs
@@ -138,7 +138,9 @@
         let of = |known: &MoveState| known.routes.clone();
         state.moves.iter().map(of).collect()
     };
+    let size = |state: &HostState| (state.capacity_milli, state.link_mbps);
     told.stage != state.stage
+        || size(told) != size(state)
         || told.is_settled != state.is_settled
         || told.crashes != state.crashes
         || stages(told) != stages(state)
--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -12,7 +12,7 @@
 use crate::move_desk::MoveDesk;
 use crate::orders_chase::OrdersChase;
 use crate::planned_stop::PlannedStop;
-use crate::route_publisher::publish_routes;
+use crate::route_publisher::{publish_budget_limits, publish_routes};
 use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
 use crate::target_desk::{TargetDesk, used_ids};
 use crate::{GatewaySettings, Platform, StoreFault, StoredTable};
@@ -185,7 +185,7 @@
                 self.publish_held_back();
             }
             GatewayEvent::Stop => self.begin_stop(),
-            GatewayEvent::Reload => tracing::info!("gateway: the settings are unchanged"),
+            GatewayEvent::Reload(settings) => self.reload(*settings),
         }
     }
 
@@ -321,8 +321,8 @@
         if is_starting || self.ticks.is_multiple_of(TICKS_PER_SYNC) {
             self.sync(now);
         }
-        if is_starting {
-            self.ask_next_seed();
+        if is_starting && let Some(addr) = self.parts.settings.seed_in_turn(self.ticks) {
+            self.ask(addr);
         }
         self.step_moves(now);
         self.read_store(now);
@@ -397,21 +397,6 @@
         }
     }
 
-    /// Asks the hosts that the settings name, which read the store first, in turn. A hundred hosts
-    /// that start at once would else take all of their processor time.
-    fn ask_next_seed(&mut self) {
-        let settings = &self.parts.settings;
-        let seeds = settings.seeds.iter().copied();
-        let seeds: Vec<SocketAddr> = seeds.filter(|addr| *addr != settings.peer_addr).collect();
-        if seeds.is_empty() {
-            return;
-        }
-        let turn = self.ticks.wrapping_add(self.parts.seed) % seeds.len() as u64;
-        if let Some(addr) = usize::try_from(turn).ok().and_then(|turn| seeds.get(turn)) {
-            self.ask(*addr);
-        }
-    }
-
     /// Asks a host that has newer orders for them, unless another one is being asked.
     fn ask_for_orders(&mut self) {
         if let Some(addr) = self.chase.next() {
@@ -484,6 +469,27 @@
         }
     }
 
+    fn reload(&mut self, new: GatewaySettings) {
+        let parts = &mut self.parts;
+        let reloaded = parts.settings.reload(new);
+        let settings = &parts.settings;
+        tracing::info!(
+            changed = reloaded.changed.join(", "),
+            needs_restart = reloaded.needs_restart.join(", "),
+            "gateway: the settings were read again"
+        );
+        self.store_duty.set_leave_ms(settings.leave_ms);
+        parts.stop.grace_ms = settings.grace_ms;
+        for seed in &settings.seeds {
+            if *seed != settings.peer_addr {
+                self.membership.add_lead(*seed);
+            }
+        }
+        if reloaded.changed.contains(&"budget") {
+            publish_budget_limits(&parts.board, &mut parts.writers, settings.budget);
+        }
+    }
+
     fn begin_stop(&mut self) {
         let now = self.now();
         if self.parts.stop.begin(now) {
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -1,7 +1,7 @@
 //! What the conductor is told.
 
 use crate::fleet_service::SyncAnswer;
-use crate::{StoreFault, StoredTable, WriteOutcome};
+use crate::{GatewaySettings, StoreFault, StoredTable, WriteOutcome};
 use heatherhinge_steering::{HostState, MoveReport, ReportedState, TableUpdate};
 use heatherhinge_types::Name;
 use std::net::SocketAddr;
@@ -54,8 +54,8 @@
     Crashed { digest: u64 },
     /// The process was told to stop.
     Stop,
-    /// The process was told that its settings have changed.
-    Reload,
+    /// The settings have changed.
+    Reload(Box<GatewaySettings>),
 }
 
 /// Sends events to the conductor.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -206,9 +206,9 @@
         self.events.send(GatewayEvent::Stop);
     }
 
-    /// Tells the host that its settings file has changed.
-    pub fn reload(&self) {
-        self.events.send(GatewayEvent::Reload);
+    /// Hands new settings to the host. What cannot change while it runs is logged.
+    pub fn reload(&self, settings: GatewaySettings) {
+        self.events.send(GatewayEvent::Reload(Box::new(settings)));
     }
 
     /// Waits until a planned stop is complete.
--- a/crates/gateway/src/route_publisher.rs
+++ b/crates/gateway/src/route_publisher.rs
@@ -45,3 +45,18 @@
     let value = |name: &Name| old.get(name).map_or_else(|| Arc::new(make()), Arc::clone);
     writer.publish(names.map(|name| (name.clone(), value(name))).collect());
 }
+
+/// Publishes budgets with other limits; what has been counted stays.
+pub(crate) fn publish_budget_limits(
+    board: &SteeringBoard,
+    writers: &mut SteeringWriters,
+    limits: BudgetLimits,
+) {
+    let old = board.budgets.read_owned();
+    let with_limits = |(name, budget): (&Name, &Arc<RetryBudget>)| {
+        (name.clone(), Arc::new(budget.with_limits(limits)))
+    };
+    writers
+        .budgets
+        .publish(old.value.iter().map(with_limits).collect());
+}
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,11 +1,11 @@
 //! What a host is told at its start.
 
 use heatherhinge_steering::BudgetLimits;
-use heatherhinge_types::Name;
+use heatherhinge_types::{Digest, Name};
 use std::net::SocketAddr;
 
 /// Settings of an entry host on a platform.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq)]
 pub struct GatewaySettings {
     /// Name of the host.
     pub host: Name,
@@ -38,3 +38,71 @@
     /// Time between the signal to stop and the kill, in milliseconds.
     pub grace_ms: u64,
 }
+
+/// Which settings a reload has changed, by the names of their fields.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub(crate) struct Reloaded {
+    /// Settings that are in force now.
+    pub(crate) changed: Vec<&'static str>,
+    /// Settings that differ and need a restart.
+    pub(crate) needs_restart: Vec<&'static str>,
+}
+
+impl GatewaySettings {
+    /// Returns another host that the settings name. They read the store first, and each host asks
+    /// one at a time: a hundred hosts that start at once would else take all of their processor
+    /// time.
+    pub(crate) fn seed_in_turn(&self, turn: u64) -> Option<SocketAddr> {
+        let others = || self.seeds.iter().filter(|seed| **seed != self.peer_addr);
+        let count = others().count() as u64;
+        // Hosts begin with different seeds.
+        let offset = Digest::of(self.host.as_bytes()).0 as u64;
+        let place = turn.wrapping_add(offset).checked_rem(count)?;
+        others().nth(usize::try_from(place).ok()?).copied()
+    }
+
+    /// Takes over what may change while the host runs. Names and addresses may not: other hosts
+    /// know them, and listeners are bound to them.
+    pub(crate) fn reload(&mut self, new: Self) -> Reloaded {
+        let mut reloaded = Reloaded::default();
+        macro_rules! fixed {
+            ($($field:ident),*) => {$(
+                if self.$field != new.$field {
+                    reloaded.needs_restart.push(stringify!($field));
+                }
+            )*};
+        }
+        macro_rules! adopted {
+            ($($field:ident),*) => {$(
+                if self.$field != new.$field {
+                    self.$field = new.$field;
+                    reloaded.changed.push(stringify!($field));
+                }
+            )*};
+        }
+        fixed!(
+            host,
+            zone,
+            caller_addr,
+            readiness_addr,
+            directory_addr,
+            peer_addr,
+            metrics_addr
+        );
+        adopted!(
+            seeds,
+            is_first_start,
+            budget,
+            probes_per_s,
+            capacity_milli,
+            link_mbps,
+            leave_ms,
+            grace_ms
+        );
+        reloaded
+    }
+}
+
+#[cfg(test)]
+#[path = "../tests/unit/settings.rs"]
+mod tests;
--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -188,19 +188,28 @@
     /// Starts without calls; `leave_ms` is the time within which a leaving target must get no more
     /// requests.
     pub(crate) const fn new(now: MonoNs, learning: Learning, leave_ms: u64) -> Self {
-        Self {
+        let mut duty = Self {
             orders: TableDuty::new(),
             targets: TableDuty::new(),
             copies_from: now.plus_ms(learning.copies_ms),
             duties_from: now.plus_ms(learning.duties_ms),
-            first_age_ms: leave_ms * FIRST_AGE_PERCENT / 100,
-            relief_age_ms: leave_ms * RELIEF_AGE_PERCENT / 100,
-            follower_age_ms: leave_ms * FOLLOWER_AGE_PERCENT / 100,
+            first_age_ms: 0,
+            relief_age_ms: 0,
+            follower_age_ms: 0,
             next_hosts_read: now,
             next_register: now,
             is_registered: false,
             is_lost: false,
-        }
+        };
+        duty.set_leave_ms(leave_ms);
+        duty
+    }
+
+    /// Sets the time within which a leaving target must get no more requests.
+    pub(crate) const fn set_leave_ms(&mut self, leave_ms: u64) {
+        self.first_age_ms = leave_ms * FIRST_AGE_PERCENT / 100;
+        self.relief_age_ms = leave_ms * RELIEF_AGE_PERCENT / 100;
+        self.follower_age_ms = leave_ms * FOLLOWER_AGE_PERCENT / 100;
     }
 
     /// Takes in that a read has ended.
--- a/crates/rehearsal/src/hosts.rs
+++ b/crates/rehearsal/src/hosts.rs
@@ -146,6 +146,16 @@
         &self.log
     }
 
+    /// Replaces a text in the settings file, which the host reads again.
+    ///
+    /// # Errors
+    ///
+    /// Fails when the file cannot be read or written.
+    pub fn edit_settings(&self, from: &str, to: &str) -> std::io::Result<()> {
+        let text = std::fs::read_to_string(&self.settings)?;
+        std::fs::write(&self.settings, text.replace(from, to))
+    }
+
     /// Returns whether the process runs.
     pub fn is_running(&mut self) -> bool {
         match &mut self.child {
--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -44,6 +44,28 @@
         }
     }
 
+    /// Makes a window with other limits and the same counts.
+    #[must_use]
+    pub fn with_limits(&self, limits: BudgetLimits) -> Self {
+        let same_window = limits.window_ms == self.limits.window_ms;
+        let copied = |index: usize| Bin {
+            requests: AtomicU64::new(self.bins[index].requests.load(Ordering::Relaxed)),
+            repeats: AtomicU64::new(self.bins[index].repeats.load(Ordering::Relaxed)),
+        };
+        Self {
+            limits,
+            // Parts of another length cannot be compared; the repeats of its first window are
+            // then bounded by the requests of that window alone.
+            bins: std::array::from_fn(|index| {
+                if same_window {
+                    copied(index)
+                } else {
+                    Bin::default()
+                }
+            }),
+        }
+    }
+
     /// Counts a request of a caller.
     pub fn count_request(&self, now: MonoNs) {
         let number = self.bin_number(now);
