Explain a request from the log files of hosts

Cause: heatherhinge explain asks entry hosts for records, which the daemon of the platform does not keep; its story is in its log lines, and an operator had to read JSON.

Change: explain log takes the id of a request and log files, and tells the targets that were tried, the answer, whether the request ran and what changed at the host in the two seconds before. Lines that cannot be read are counted.

--- a/crates/cli/src/command.rs
+++ b/crates/cli/src/command.rs
@@ -63,6 +63,13 @@
         /// Entry hosts to ask.
         entries: Vec<SocketAddr>,
     },
+    /// Tells the story of a request from the log files of hosts.
+    ExplainLog {
+        /// Id of the request.
+        id: Name,
+        /// Log files, one JSON object a line.
+        files: Vec<PathBuf>,
+    },
     /// Tells the state of the fleet as one host sees it.
     Status {
         /// Entry hosts to ask, in order.
--- a/crates/cli/src/options.rs
+++ b/crates/cli/src/options.rs
@@ -194,7 +194,10 @@
     )
     .command("move")
     .help("Tell the story of a version move");
-    construct!([request, version_move])
+    let log = explain_log()
+        .command("log")
+        .help("Tell the story of a request from log files");
+    construct!([request, version_move, log])
         .to_options()
         .descr("Tells the story of a request or a version move in plain sentences.")
         .footer(FOOTER)
@@ -211,6 +214,21 @@
     leaf(construct!(Command::Explain { entries, subject }), descr)
 }
 
+fn explain_log() -> OptionParser<Invocation> {
+    let id = positional::<String>("ID")
+        .help("The id of the request, as its caller sent it")
+        .parse(|text| check_id(&text));
+    let files = positional::<PathBuf>("FILE")
+        .help("A file with the log lines of a host. All hosts that may have had the request")
+        .some("at least one log file is needed");
+    leaf(
+        construct!(Command::ExplainLog { id, files }),
+        "Tells what the hosts of a platform have logged of a request: the targets that were tried \
+         with the load that they stated, the answer and whether the request ran, and what changed \
+         at the host in the two seconds before. Lines that cannot be read are counted.",
+    )
+}
+
 /// Ids are parts of paths and of INI headers, so only characters that need no escape are taken.
 fn check_id(text: &str) -> Result<Name, String> {
     let is_allowed = |c: char| c.is_ascii_alphanumeric() || matches!(c, '-' | '_' | '.');
--- a/crates/cli/src/run.rs
+++ b/crates/cli/src/run.rs
@@ -1,7 +1,8 @@
 //! Carries a command out.
 
 use crate::{
-    CallError, Command, Context, Invocation, Output, check, explain, key, report, status, submit,
+    CallError, Command, Context, Invocation, Output, check, explain, explain_log, key, report,
+    status, submit,
 };
 use std::net::SocketAddr;
 
@@ -27,6 +28,7 @@
             Ok(entries) => explain::explain(context, subject, entries).await,
             Err(output) => output,
         },
+        Command::ExplainLog { id, files } => explain_log::explain(id, files),
         Command::Status { entries } => match named(context, entries) {
             Ok(entries) => status::status(context, entries).await,
             Err(output) => output,
