Compress what hosts send each other of stored tables

Change: updates from 1 KB on are packed by postcard and LZ4; the size that a message states is bounded before it is unpacked, and a spoiled one is refused with code and address.

--- a/crates/gateway/src/conductor.rs
+++ b/crates/gateway/src/conductor.rs
@@ -11,6 +11,7 @@
 use crate::links::Links;
 use crate::move_desk::MoveDesk;
 use crate::orders_chase::OrdersChase;
+use crate::packed_update::PackedUpdate;
 use crate::planned_stop::PlannedStop;
 use crate::route_publisher::{publish_budget_limits, publish_routes};
 use crate::store_duty::{StoreCall, StoreChange, StoreDuty, StoreFacts, store_readers};
@@ -21,7 +22,7 @@
     CrashWatch, DrainNext, FleetView, HostStage, HostState, Membership, Replica, SteeringBoard,
     SteeringWriters, TableUpdate, TargetInputs,
 };
-use heatherhinge_types::{MonoNs, Name};
+use heatherhinge_types::{Code, MonoNs, Name};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
@@ -155,9 +156,7 @@
             }
             GatewayEvent::HostsRead(addrs) => {
                 for addr in addrs {
-                    if addr != self.parts.settings.peer_addr {
-                        self.membership.add_lead(addr);
-                    }
+                    self.membership.add_lead(addr);
                 }
             }
             GatewayEvent::Registered(result) => match result {
@@ -301,11 +300,18 @@
                 self.exchanges.lacks_states(addr);
             }
         }
-        if let Some(update) = answer.orders {
-            self.apply_orders(&update);
-        }
-        if let Some(update) = answer.targets {
-            self.apply_targets(&update);
+        let updates = [
+            (StoredTable::Orders, answer.orders),
+            (StoredTable::Targets, answer.targets),
+        ];
+        for (table, update) in updates {
+            match update.map(PackedUpdate::unpack) {
+                Some(Ok(update)) => self.apply(table, &update),
+                Some(Err(error)) => {
+                    tracing::warn!(%addr, code = Code::PeerMalformed.number(), "fleet: {error}");
+                }
+                None => {}
+            }
         }
         self.check_ready(now);
     }
@@ -361,12 +367,7 @@
         self.membership.forget_silent(now);
         let fleet = self.membership.view(now);
         let before = self.parts.board.fleet.read_owned();
-        let hosts = |view: &FleetView| -> Vec<(Name, HostStage)> {
-            let of = |host: &HostState| (host.host.clone(), host.stage);
-            view.live.iter().map(of).collect()
-        };
-        let has_changed =
-            hosts(&before.value) != hosts(&fleet) || before.value.is_settled != fleet.is_settled;
+        let has_changed = !before.value.has_same_hosts(&fleet);
         if has_changed {
             tracing::info!(
                 live = fleet.live.len(),
@@ -481,9 +482,7 @@
         self.store_duty.set_leave_ms(settings.leave_ms);
         parts.stop.grace_ms = settings.grace_ms;
         for seed in &settings.seeds {
-            if *seed != settings.peer_addr {
-                self.membership.add_lead(*seed);
-            }
+            self.membership.add_lead(*seed);
         }
         if reloaded.changed.contains(&"budget") {
             publish_budget_limits(&parts.board, &mut parts.writers, settings.budget);
--- a/crates/gateway/src/fleet_board.rs
+++ b/crates/gateway/src/fleet_board.rs
@@ -2,6 +2,7 @@
 
 use crate::events::{EventSender, GatewayEvent};
 use crate::fleet_service::{NO_ORDERS, SyncAnswer, SyncRequest};
+use crate::packed_update::PackedUpdate;
 use heatherhinge_blackboard::{Reader, Writer, entry};
 use heatherhinge_steering::{Marker, Membership, Replica, Told};
 use heatherhinge_types::MonoNs;
@@ -94,8 +95,8 @@
             marker,
             states,
             beats,
-            orders,
-            targets,
+            orders: orders.map(PackedUpdate::pack),
+            targets: targets.map(PackedUpdate::pack),
         }
     }
 }
--- a/crates/gateway/src/fleet_service.rs
+++ b/crates/gateway/src/fleet_service.rs
@@ -1,9 +1,10 @@
 //! The exchange between entry hosts: a `tarpc` service over TCP.
 
 use crate::fleet_board::FleetBoard;
+use crate::packed_update::PackedUpdate;
 use futures_util::StreamExt;
 use heatherhinge_proxy::Clock;
-use heatherhinge_steering::{Beat, HostState, Marker, TableUpdate, Told};
+use heatherhinge_steering::{Beat, HostState, Marker, Told};
 use heatherhinge_types::Code;
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
@@ -71,9 +72,9 @@
     /// Beats of the other hosts.
     pub beats: Vec<Beat>,
     /// Newer orders.
-    pub orders: Option<TableUpdate>,
+    pub orders: Option<PackedUpdate>,
     /// Newer or more recently confirmed registrations.
-    pub targets: Option<TableUpdate>,
+    pub targets: Option<PackedUpdate>,
 }
 
 /// The service.
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -111,9 +111,7 @@
         };
         let mut membership = Membership::new(own, started.mono_ns);
         for seed_addr in &settings.seeds {
-            if *seed_addr != settings.peer_addr {
-                membership.add_lead(*seed_addr);
-            }
+            membership.add_lead(*seed_addr);
         }
         let (fleet_board, fleet_writers) = FleetBoard::new(membership.clone(), events.clone());
         let links = Arc::new(Links::default());
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -26,6 +26,7 @@
 mod metrics;
 mod move_desk;
 mod orders_chase;
+mod packed_update;
 mod placement;
 mod planned_stop;
 mod platform;
--- /dev/null
+++ b/crates/gateway/tests/unit/packed_update.rs
@@ -0,0 +1,57 @@
+//! Updates on their way between hosts.
+
+use super::*;
+use heatherhinge_steering::RowChange;
+use heatherhinge_types::Name;
+
+fn update(rows: usize) -> TableUpdate {
+    let row = |number| RowChange {
+        key: Name::from(format!("i-{number}")),
+        version: 7,
+        content: (number % 5 != 4).then(|| {
+            let text = format!("{{\"service\":\"desk\",\"address\":\"10.1.0.{number}:80\"}}");
+            text.into_bytes().into()
+        }),
+    };
+    TableUpdate {
+        is_whole: true,
+        version: 9,
+        age_ms: 40,
+        rows: (0..rows).map(row).collect(),
+    }
+}
+
+// Guards against rows, removals or versions that are lost on the way, and against large tables that
+// fill a small link.
+#[test]
+fn updates_arrive_as_they_were() {
+    for rows in [0, 3, 400] {
+        let packed = PackedUpdate::pack(update(rows));
+        if let PackedUpdate::Lz4(bytes) = &packed {
+            assert!(bytes.len() * 3 < rows * 50, "{} bytes", bytes.len());
+        }
+        assert_eq!(packed.unpack(), Ok(update(rows)));
+    }
+    assert!(matches!(
+        PackedUpdate::pack(update(400)),
+        PackedUpdate::Lz4(_)
+    ));
+    assert!(matches!(
+        PackedUpdate::pack(update(3)),
+        PackedUpdate::Plain(_)
+    ));
+}
+
+// Guards against a daemon that ends, or takes all of its memory, because of a spoiled message.
+#[test]
+fn spoiled_updates_are_refused() {
+    let PackedUpdate::Lz4(packed) = PackedUpdate::pack(update(400)) else {
+        panic!("400 rows are packed");
+    };
+    let mut huge = packed.clone();
+    huge[..4].copy_from_slice(&u32::MAX.to_le_bytes());
+    let cut = packed[..packed.len() / 2].to_vec();
+    for spoiled in [Vec::new(), vec![1, 0], huge, cut] {
+        assert!(PackedUpdate::Lz4(spoiled).unpack().is_err());
+    }
+}
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -119,7 +119,7 @@
         self.hosts.insert(sighting.state.host.clone(), sighting);
     }
 
-    /// Adds an address at which a host may answer.
+    /// Adds an address at which a host may answer, unless it is that of a known one or of this host.
     pub fn add_lead(&mut self, addr: SocketAddr) {
         let is_known = self.hosts.values().any(|host| host.state.peer_addr == addr);
         if !is_known && !self.leads.contains(&addr) {
@@ -321,6 +321,17 @@
         self.is_settled.then_some(self.known)
     }
 
+    /// Returns whether both views have the same live hosts in the same stages, so that duties are
+    /// shared out alike.
+    #[must_use]
+    pub fn has_same_hosts(&self, other: &Self) -> bool {
+        let stages = |view: &Self| -> Vec<(Name, HostStage)> {
+            let of = |host: &HostState| (host.host.clone(), host.stage);
+            view.live.iter().map(of).collect()
+        };
+        self.is_settled == other.is_settled && stages(self) == stages(other)
+    }
+
     /// Returns whether this host hears most of the hosts that it knows. One that does not may be
     /// cut off from a fleet which shares out duties without it.
     #[must_use]
