Let the store's report of a move overrule a host's own verdict

A host in the last stage before completion still judges the answers. One that judged them bad after another host had reported the move as completed stayed with the old targets, which are stopped then; it did not take over a lower stage, and hosts that started later took over its stage. It asked the store only when its turn to report came, 0.7 s for each host before it.

Change: a final stage that is reported goes before any verdict, and hosts that take it over tell it as reported. Beats name the revision of their content, so that a content that was missed is asked for. A process that is silent does not hide its successor whose time of day is earlier.

--- a/crates/steering/src/host_state.rs
+++ b/crates/steering/src/host_state.rs
@@ -62,6 +62,8 @@
     pub key: u32,
     /// Newest beat.
     pub beat: u32,
+    /// Revision of the content that the beat belongs to.
+    pub revision: u32,
     /// Requests of callers in the last second.
     pub requests_per_s: u16,
 }
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -129,8 +129,13 @@
 
     /// Takes in the state of a host and returns whether it was news.
     pub fn hear(&mut self, state: HostState, now: MonoNs) -> bool {
-        let known = self.hosts.get(&state.host).map(|known| known.state.id);
-        if state.host == self.own || known.is_some_and(|id| id >= state.id) {
+        let is_older = self.hosts.get(&state.host).is_some_and(|known| {
+            let is_same_process = known.state.id.incarnation == state.id.incarnation;
+            // The time of day may have gone back before a restart, so a process that has fallen
+            // silent does not hide its successor.
+            known.state.id >= state.id && (is_same_process || known.is_live(now))
+        });
+        if state.host == self.own || is_older {
             return false;
         }
         self.leads.retain(|lead| *lead != state.peer_addr);
@@ -139,13 +144,14 @@
         true
     }
 
-    /// Takes in a beat; returns whether the state that it belongs to is known.
+    /// Takes in a beat; returns whether the state that it belongs to is known. A newer content may
+    /// have passed this host by while its sender was silent for the host that told of it.
     pub fn hear_beat(&mut self, beat: Beat, now: MonoNs) -> bool {
         let known = self
             .keys
             .get(&beat.key)
             .and_then(|name| self.hosts.get_mut(name))
-            .filter(|known| known.key == beat.key);
+            .filter(|known| known.key == beat.key && known.state.revision >= beat.revision);
         let Some(known) = known else {
             return false;
         };
@@ -217,6 +223,7 @@
                 beats.push(Beat {
                     key: host.key,
                     beat: host.state.id.beat,
+                    revision: host.state.revision,
                     requests_per_s: u16::try_from(host.state.requests_per_s).unwrap_or(u16::MAX),
                 });
             }
--- a/crates/steering/src/move_control.rs
+++ b/crates/steering/src/move_control.rs
@@ -80,6 +80,8 @@
     since: MonoNs,
     stage_since: MonoNs,
     report: Option<Option<MoveReport>>,
+    /// Whether the store is known to hold a final report, which no verdict overrules.
+    is_final: bool,
     next_call: MonoNs,
 }
 
@@ -108,6 +110,7 @@
                 since: now,
                 stage_since: now,
                 report: None,
+                is_final: false,
                 next_call: now,
             });
         }
@@ -141,8 +144,8 @@
             let is_ours =
                 report.to == known.gauge.order.to && report.version > known.gauge.order_version;
             match report.state {
-                ReportedState::Completed if is_ours => known.enter(MoveStage::Completed, now),
-                ReportedState::RolledBack if is_ours => known.enter(MoveStage::RolledBack, now),
+                ReportedState::Completed if is_ours => known.finish(MoveStage::Completed, now),
+                ReportedState::RolledBack if is_ours => known.finish(MoveStage::RolledBack, now),
                 _ => {}
             }
         }
@@ -169,6 +172,9 @@
 impl Move {
     /// Returns whether the store is known to hold the report that the stage asks for.
     fn is_reported(&self) -> bool {
+        if self.is_final {
+            return true;
+        }
         let Some(Some(report)) = &self.report else {
             return false;
         };
@@ -183,6 +189,12 @@
         is_ours && report.state == wanted
     }
 
+    /// Enters the stage that the store's report names.
+    fn finish(&mut self, stage: MoveStage, now: MonoNs) {
+        self.is_final = true;
+        self.enter(stage, now);
+    }
+
     fn enter(&mut self, stage: MoveStage, now: MonoNs) {
         if self.gauge.stage() != stage {
             self.gauge.set_stage(stage);
@@ -224,7 +236,15 @@
     }
 
     /// Takes over how far other hosts have brought the move, and the longest time since its order.
+    /// A stage that is reported as final goes before any other: once a move is reported as
+    /// completed, its old targets stop.
     fn adopt(&mut self, peers: &[&MoveState], now: MonoNs) {
+        let reported = peers
+            .iter()
+            .find(|peer| peer.is_reported && peer.stage >= MoveStage::Completed);
+        if let Some(peer) = reported.filter(|_| !self.is_final) {
+            self.finish(peer.stage, now);
+        }
         for peer in peers {
             let since = MonoNs(now.0.saturating_sub(MonoNs::from_ms(peer.elapsed_ms).0));
             self.since = self.since.min(since);
--- a/crates/steering/tests/fleet.rs
+++ b/crates/steering/tests/fleet.rs
@@ -92,9 +92,35 @@
     let unknown = Beat {
         key: 77,
         beat: 4,
+        revision: 0,
         requests_per_s: 9,
     };
     assert!(!here.hear_beat(unknown, start));
+    here.hear(host(3, "a"), start);
+    let newer = Beat {
+        key: host(3, "a").key(),
+        beat: 9,
+        revision: 2,
+        requests_per_s: 9,
+    };
+    assert!(!here.hear_beat(newer, start), "its content was missed");
+}
+
+// Guards against a restarted host that the others do not name for half a minute because its time of
+// day has gone back.
+#[test]
+fn a_restart_with_an_earlier_time_of_day_is_noticed() {
+    let start = MonoNs::from_ms(20_000);
+    let mut here = Membership::new(host(1, "a"), start);
+    here.hear(host(2, "a"), start);
+    let mut successor = host(2, "a");
+    successor.id.incarnation = 400;
+    assert!(!here.hear(successor.clone(), start.plus_ms(500)));
+    assert!(here.hear(successor, start.plus_ms(2_600)));
+    assert_eq!(
+        live_names(&here, start.plus_ms(2_700)),
+        ["host-1", "host-2"]
+    );
 }
 
 // Guards against exchanges with ever other hosts, each of which carries the states of all the
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -203,3 +203,32 @@
     control.set_report(&service, Some(ours), start);
     assert_eq!(stage(&control), MoveStage::RolledBack);
 }
+
+// Guards against a host that takes a move back by itself while another one has reported it as
+// completed: the old targets are stopped then, and the host refused all requests until its turn to
+// write a report came, up to a minute later.
+#[test]
+fn a_reported_stage_overrules_an_unreported_one() {
+    let start = MonoNs::from_ms(1_000);
+    let own = Name::new("host-1");
+    let mut control = control(start);
+    let bad = vec![route("r", tally(100, 0, 0), tally(40, 20, 0))];
+    let doubting = [(2, state(MoveStage::Shift, 0, bad))];
+    control.step(&own, &with_moves(fleet(3), &doubting), start.plus_ms(300));
+    assert_eq!(stage(&control), MoveStage::RolledBack);
+    let reported = MoveState {
+        is_reported: true,
+        ..state(MoveStage::Completed, 0, Vec::new())
+    };
+    let peers = [
+        (2, state(MoveStage::RolledBack, 0, Vec::new())),
+        (3, reported),
+    ];
+    control.step(&own, &with_moves(fleet(3), &peers), start.plus_ms(600));
+    assert_eq!(stage(&control), MoveStage::Completed);
+    let told = control.states(start.plus_ms(600));
+    assert!(told[0].is_reported, "others learn it from this host too");
+    let doubting = [(2, state(MoveStage::RolledBack, 0, Vec::new()))];
+    control.step(&own, &with_moves(fleet(3), &doubting), start.plus_ms(900));
+    assert_eq!(stage(&control), MoveStage::Completed);
+}
