--- a/crates/rehearsal/src/soak.rs
+++ b/crates/rehearsal/src/soak.rs
@@ -26,6 +26,15 @@
 /// Share of the requests, in percent, that must be answered well in spite of the faults.
 const MIN_GOOD_PERCENT: u64 = 25;
 
+/// Kinds of faults that seeds below [`ALL_KINDS_FROM`] draw from. Seeds that have failed are kept as
+/// cases, and their faults must stay as they were.
+const FIRST_KINDS: u32 = 14;
+/// Kinds of faults that later seeds draw from: hosts that are all killed at once, and changed
+/// settings, are added.
+const ALL_KINDS: u32 = 16;
+/// First seed that draws from all kinds.
+const ALL_KINDS_FROM: u64 = 1_000;
+
 /// How a soak ended.
 #[derive(Debug)]
 pub struct Outcome {
@@ -66,6 +75,11 @@
 ) -> eyre::Result<Outcome> {
     let mut player = Player {
         deployment: Deployment::start(program, dir, plan).await?,
+        kinds: if seed < ALL_KINDS_FROM {
+            FIRST_KINDS
+        } else {
+            ALL_KINDS
+        },
         rng: Pcg64Mcg::seed_from_u64(seed),
         undo: Vec::new(),
         faults: Vec::new(),
@@ -107,6 +121,8 @@
 
 struct Player {
     deployment: Deployment,
+    /// Kinds of faults that are drawn.
+    kinds: u32,
     rng: Pcg64Mcg,
     undo: Vec<Undo>,
     faults: Vec<String>,
@@ -125,7 +141,7 @@
     }
 
     async fn fault(&mut self) -> eyre::Result<()> {
-        match self.rng.random_range(0..14) {
+        match self.rng.random_range(0..self.kinds) {
             0 | 1 => self.spoil_target(),
             2 | 3 => self.spoil_target_link(),
             4 => self.crash_target().await?,
@@ -139,6 +155,8 @@
                 self.note("new configuration".to_owned());
                 self.deployment.write_config();
             }
+            14 => self.kill_all_hosts(),
+            15 => self.edit_settings()?,
             _ => self.reload_host(),
         }
         Ok(())
@@ -291,6 +309,27 @@
         self.deployment.hosts.hosts[index].signal(Signal::HUP);
     }
 
+    fn kill_all_hosts(&mut self) {
+        self.note("all hosts: SIGKILL".to_owned());
+        for index in 0..self.deployment.hosts.hosts.len() {
+            self.deployment.hosts.hosts[index].kill();
+            self.lasts(UndoKind::Start(index), 300..900);
+        }
+    }
+
+    fn edit_settings(&mut self) -> eyre::Result<()> {
+        let index = self.pick_host();
+        let (from, to) = [
+            ("budget_extra=58", "budget_extra=40"),
+            ("budget_extra=40", "budget_extra=58"),
+            ("drain=2000ms", "drain=1800ms"),
+            ("drain=1800ms", "drain=2000ms"),
+        ][self.rng.random_range(0..4)];
+        self.note(format!("settings of host {index}: {from} becomes {to}"));
+        self.deployment.hosts.hosts[index].edit_settings(from, to)?;
+        Ok(())
+    }
+
     /// Ends the faults whose time is over, or all of them.
     fn undo(&mut self, all: bool) -> eyre::Result<()> {
         let now = tokio::time::Instant::now();
