Try a store that is away less often where others read for a host

Change: a host that has copies and does not read for others tries one table, and pauses up to 2 s. The readers keep their pace and tell the others when the store is back; a host without copies keeps it too.

--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -36,6 +36,9 @@
 /// Longest pause after failed calls, in milliseconds. An order is to be in force within 2 s of its
 /// acknowledgement, also when the store has just come back.
 const LONGEST_PAUSE_MS: u64 = 700;
+/// The same for a host that does not read for others and has copies. The readers tell it when the
+/// store is back; 120 hosts at the readers' pace made 2,900 calls to a store that was away for 8 s.
+const FOLLOWER_PAUSE_MS: u64 = 2_000;
 /// Pause between reads of the registered hosts while no other host is heard, in milliseconds.
 const HOSTS_PAUSE_MS: u64 = 3_000;
 /// Pause between attempts to register this host, in milliseconds.
@@ -126,7 +129,7 @@
         }
     }
 
-    fn ended(&mut self, fault: Option<&StoreFault>, now: MonoNs) {
+    fn ended(&mut self, fault: Option<&StoreFault>, longest_pause_ms: u64, now: MonoNs) {
         self.is_calling = false;
         match fault {
             None => {
@@ -147,7 +150,7 @@
             }
             Some(_) => {
                 self.not_before = now.plus_ms(self.pause_ms);
-                self.pause_ms = (self.pause_ms * 2).min(LONGEST_PAUSE_MS);
+                self.pause_ms = (self.pause_ms * 2).min(longest_pause_ms);
             }
         }
     }
@@ -182,6 +185,7 @@
     next_register: MonoNs,
     is_registered: bool,
     is_lost: bool,
+    longest_pause_ms: u64,
 }
 
 impl StoreDuty {
@@ -200,6 +204,7 @@
             next_register: now,
             is_registered: false,
             is_lost: false,
+            longest_pause_ms: LONGEST_PAUSE_MS,
         };
         duty.set_leave_ms(leave_ms);
         duty
@@ -220,8 +225,8 @@
         now: MonoNs,
     ) -> StoreChange {
         match table {
-            StoredTable::Orders => self.orders.ended(fault, now),
-            StoredTable::Targets => self.targets.ended(fault, now),
+            StoredTable::Orders => self.orders.ended(fault, self.longest_pause_ms, now),
+            StoredTable::Targets => self.targets.ended(fault, self.longest_pause_ms, now),
         }
         match fault {
             None if self.is_lost => {
@@ -253,6 +258,13 @@
             return calls;
         }
         let is_reader = facts.reader_place.is_some();
+        let has_copies = facts.orders_version > 0 && facts.targets_version > 0;
+        let is_patient = has_copies && !is_reader;
+        self.longest_pause_ms = if is_patient {
+            FOLLOWER_PAUSE_MS
+        } else {
+            LONGEST_PAUSE_MS
+        };
         let is_behind = facts.targets_age_ms >= self.follower_age_ms;
         let due_age_ms = match facts.reader_place {
             Some(0) => self.first_age_ms,
@@ -267,7 +279,9 @@
             || is_behind
             || facts.orders_version == 0
             || facts.orders_behind_ms >= ORDERS_BEHIND_MS;
-        if orders_due && self.orders.is_free(now) {
+        // While the store is lost, reading one table shows when it is back.
+        let is_tried = self.is_lost && is_patient;
+        if orders_due && !is_tried && self.orders.is_free(now) {
             let wait_ms = if is_reader { ORDERS_WAIT_MS } else { 0 };
             let table = StoredTable::Orders;
             calls.push(self.orders.begin(table, facts.orders_version, wait_ms));
--- a/crates/gateway/tests/unit/store_duty.rs
+++ b/crates/gateway/tests/unit/store_duty.rs
@@ -155,6 +155,21 @@
     assert_eq!(reads(&duty.next(&behind, now), StoredTable::Orders), 1);
 }
 
+// Guards against a large fleet that calls a store which is away: each call is paid for, and the
+// readers tell the others when it is back.
+#[test]
+fn a_follower_seldom_tries_a_store_that_is_away() {
+    let fault = StoreFault::Unavailable("down".to_owned());
+    let (targets, orders) = play(&facts(false, 5_000), Some(&fault), 8_000);
+    assert!(targets + orders <= 9, "{targets} and {orders} reads");
+    let empty = StoreFacts {
+        targets_version: 0,
+        ..facts(false, u64::MAX)
+    };
+    let (targets, _) = play(&empty, Some(&fault), 8_000);
+    assert!(targets >= 10, "{targets} reads of a host without a copy");
+}
+
 // Guards against a store that is called at full rate while it fails.
 #[test]
 fn failures_are_followed_by_growing_pauses() {
