--- a/crates/steering/src/retry_budget.rs
+++ b/crates/steering/src/retry_budget.rs
@@ -54,8 +54,7 @@
         };
         Self {
             limits,
-            // Parts of another length cannot be compared; the repeats of its first window are
-            // then bounded by the requests of that window alone.
+            // Parts of another length cannot be compared, so what was counted in them is forgotten.
             bins: std::array::from_fn(|index| {
                 if same_window {
                     copied(index)
