Read newer orders although the store was lost before

A host that does not read for others tries one table while the store is lost. It counts the store as lost until a call of its own succeeds, and makes none while others keep its copies fresh. If another host then has newer orders and cannot pass them on, the read of the orders from the store was held back for good.

Change: the read is held back only while the registrations are due too, so that their read shows when the store is back.

Test: newer_orders_are_read_although_the_store_was_lost, which fails without the change.

--- a/crates/gateway/src/store_duty.rs
+++ b/crates/gateway/src/store_duty.rs
@@ -279,8 +279,8 @@
             || is_behind
             || facts.orders_version == 0
             || facts.orders_behind_ms >= ORDERS_BEHIND_MS;
-        // While the store is lost, reading one table shows when it is back.
-        let is_tried = self.is_lost && is_patient;
+        // While the store is lost and the registrations are due, reading them shows when it is back.
+        let is_tried = self.is_lost && is_patient && is_behind;
         if orders_due && !is_tried && self.orders.is_free(now) {
             let wait_ms = if is_reader { ORDERS_WAIT_MS } else { 0 };
             let table = StoredTable::Orders;
--- a/crates/gateway/tests/unit/store_duty.rs
+++ b/crates/gateway/tests/unit/store_duty.rs
@@ -170,6 +170,23 @@
     assert!(targets >= 10, "{targets} reads of a host without a copy");
 }
 
+// Guards against a host that lost the store once, has learned from others since, and does not read
+// newer orders that the others could not pass on.
+#[test]
+fn newer_orders_are_read_although_the_store_was_lost() {
+    let (mut duty, now) = start();
+    let fault = StoreFault::Unavailable("down".to_owned());
+    duty.next(&facts(false, 5_000), now);
+    duty.ended(StoredTable::Targets, Some(&fault), now);
+    duty.ended(StoredTable::Orders, Some(&fault), now);
+    let behind = StoreFacts {
+        orders_behind_ms: ORDERS_BEHIND_MS,
+        ..facts(false, 100)
+    };
+    let calls = duty.next(&behind, now.plus_ms(5_000));
+    assert_eq!(reads(&calls, StoredTable::Orders), 1);
+}
+
 // Guards against a store that is called at full rate while it fails.
 #[test]
 fn failures_are_followed_by_growing_pauses() {
