Make the state of a host in one place

Cause: the state that a host tells of itself was listed field by field at its start and again in each announcement, and the last change had to add two fields to both.

Change: GatewaySettings::host_state gives the state at the start, and an announcement fills in what differs. A comment on neighbours says what a first exchange carries now. No behaviour changes; the tests of the gateway passed.

--- a/crates/gateway/src/announcement.rs
+++ b/crates/gateway/src/announcement.rs
@@ -64,23 +64,17 @@
         now: MonoNs,
     ) -> HostState {
         self.count_requests(facts.requests, now);
+        let id = BeatId {
+            incarnation: self.incarnation,
+            beat: self.beat,
+        };
         let mut state = HostState {
-            host: settings.host.clone(),
-            id: BeatId {
-                incarnation: self.incarnation,
-                beat: self.beat,
-            },
-            revision: 0,
-            caller_addr: settings.caller_addr,
-            peer_addr: settings.peer_addr,
-            zone: settings.zone.clone(),
             stage: facts.stage,
             is_settled: facts.is_settled,
             requests_per_s: self.requests_per_s,
-            capacity_milli: settings.capacity_milli,
-            link_mbps: settings.link_mbps,
             moves: facts.moves,
             crashes: facts.crashes,
+            ..settings.host_state(id)
         };
         let may_tell_tallies = now.ms_since(self.tallied_at) >= TALLY_INTERVAL_MS;
         let mut is_due = now.ms_since(self.beat_at) >= BEAT_INTERVAL_MS;
--- a/crates/gateway/src/gateway.rs
+++ b/crates/gateway/src/gateway.rs
@@ -14,7 +14,7 @@
 use crate::{GatewaySettings, Platform, metrics};
 use axum::Router;
 use heatherhinge_proxy::Clock;
-use heatherhinge_steering::{BeatId, Demand, HostStage, HostState, Membership, SteeringBoard};
+use heatherhinge_steering::{BeatId, Demand, HostStage, Membership, SteeringBoard};
 use heatherhinge_types::Digest;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -91,24 +91,10 @@
         let platform = Arc::new(platform);
         let (board, writers) = SteeringBoard::new(settings.host.clone(), settings.zone.clone());
         let (events, receiver) = EventSender::new();
-        let own = HostState {
-            host: settings.host.clone(),
-            revision: 0,
-            id: BeatId {
-                incarnation: started.wall_ms.0,
-                beat: 0,
-            },
-            caller_addr: settings.caller_addr,
-            peer_addr: settings.peer_addr,
-            zone: settings.zone.clone(),
-            stage: HostStage::Starting,
-            is_settled: false,
-            requests_per_s: 0,
-            capacity_milli: settings.capacity_milli,
-            link_mbps: settings.link_mbps,
-            moves: Vec::new(),
-            crashes: Vec::new(),
-        };
+        let own = settings.host_state(BeatId {
+            incarnation: started.wall_ms.0,
+            beat: 0,
+        });
         let mut membership = Membership::new(own, started.mono_ns);
         for seed_addr in &settings.seeds {
             membership.add_lead(*seed_addr);
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,6 +1,6 @@
 //! What a host is told at its start.
 
-use heatherhinge_steering::BudgetLimits;
+use heatherhinge_steering::{BeatId, BudgetLimits, HostStage, HostState};
 use heatherhinge_types::{Digest, Name};
 use std::net::SocketAddr;
 
@@ -49,6 +49,25 @@
 }
 
 impl GatewaySettings {
+    /// Returns the state of this host as it is at its start.
+    pub(crate) fn host_state(&self, id: BeatId) -> HostState {
+        HostState {
+            host: self.host.clone(),
+            id,
+            revision: 0,
+            caller_addr: self.caller_addr,
+            peer_addr: self.peer_addr,
+            zone: self.zone.clone(),
+            stage: HostStage::Starting,
+            is_settled: false,
+            requests_per_s: 0,
+            capacity_milli: self.capacity_milli,
+            link_mbps: self.link_mbps,
+            moves: Vec::new(),
+            crashes: Vec::new(),
+        }
+    }
+
     /// Returns another host that the settings name. They read the store first, and each host asks
     /// one at a time: a hundred hosts that start at once would else take all of their processor
     /// time.
--- a/crates/steering/src/membership.rs
+++ b/crates/steering/src/membership.rs
@@ -245,8 +245,8 @@
     }
 
     /// Lists the live hosts that come first for this one by rendezvous hashing, those of its own
-    /// zone and the others. They are few, because the first exchange with a host carries the
-    /// states of all.
+    /// zone and the others. They are few, because the first exchange with a host lists all states
+    /// that are known.
     #[must_use]
     pub fn neighbours(&self, now: MonoNs) -> [Vec<SocketAddr>; 2] {
         let zone = self.hosts.get(&self.own).map(|own| own.state.zone.clone());
