Log the counts behind each stage of a move

Seen by callers: a bad version got a third of the requests, and the log said only that its failed and slow responses were within the bounds. Cause: the line of a stage change carried neither counts, nor their age, nor how the host had split its own requests, so a wrong decision could not be told from one on old counts, or from a share of the wrong quantity. Change: the line has the responses of both versions summed over the hosts, the number of those hosts, the age of the oldest counts, and this host's searches, requests and sends. MoveTracker counts requests and sends for that.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -301,7 +301,8 @@
                 return AttemptResult::without_target("the retry budget is exhausted");
             }
             self.board.counts.sends.fetch_add(1, Ordering::Relaxed);
-            let in_flight = InFlight::begin(Arc::clone(&target), tracker.clone(), side);
+            let in_flight =
+                InFlight::begin(Arc::clone(&target), tracker.clone(), side, sent.is_empty());
             sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
             let outgoing = OutgoingRequest {
--- a/crates/gateway/src/in_flight.rs
+++ b/crates/gateway/src/in_flight.rs
@@ -16,10 +16,11 @@
         target: Arc<Target>,
         tracker: Option<Arc<MoveTracker>>,
         side: Side,
+        is_first_send: bool,
     ) -> Self {
         target.cell.begin();
         if let Some(tracker) = &tracker {
-            tracker.begin(side);
+            tracker.begin(side, is_first_send);
         }
         Self {
             target,
--- a/crates/gateway/src/move_executor.rs
+++ b/crates/gateway/src/move_executor.rs
@@ -4,7 +4,8 @@
 use crate::{Platform, StoreError, WriteOutcome};
 use heatherhinge_orders::MoveOrder;
 use heatherhinge_steering::{
-    FleetView, MoveControl, MoveEffect, MoveProgress, MoveReport, MoveTracker, ReportedState,
+    FleetView, MoveControl, MoveEffect, MoveEvidence, MoveProgress, MoveReport, MoveStage,
+    MoveTracker, ReportedState,
 };
 use heatherhinge_types::{MonoNs, Name};
 use std::collections::BTreeMap;
@@ -65,7 +66,8 @@
                     service,
                     stage,
                     reason,
-                } => tracing::info!(%service, ?stage, reason, "moves: stage of a move changed"),
+                    evidence,
+                } => log_stage(&service, stage, reason, &evidence),
             }
         }
     }
@@ -118,3 +120,33 @@
         }
     }
 }
+
+/// Logs a stage with the counts that decided it, so that a wrong decision can be told from one on
+/// old or missing counts.
+fn log_stage(service: &Name, stage: MoveStage, reason: &str, evidence: &MoveEvidence) {
+    let MoveEvidence {
+        current,
+        moving,
+        hosts,
+        oldest_ms,
+        own_share,
+    } = evidence;
+    tracing::info!(
+        %service,
+        ?stage,
+        reason,
+        current_answers = current.answers,
+        current_bad = current.bad,
+        current_slow = current.slow,
+        moving_answers = moving.answers,
+        moving_bad = moving.bad,
+        moving_slow = moving.slow,
+        hosts,
+        oldest_ms,
+        own_searches = own_share.searches,
+        own_moving_searches = own_share.moving_searches,
+        own_requests = own_share.requests,
+        own_moving_sends = own_share.moving_sends,
+        "moves: stage of a move changed"
+    );
+}
--- a/crates/steering/src/move_control.rs
+++ b/crates/steering/src/move_control.rs
@@ -4,7 +4,9 @@
 //! move back. One host, chosen by rendezvous hashing, advances it; the others take over when they
 //! see no progress. The report in the store is written conditionally and is authoritative.
 
-use crate::{FleetView, MoveProgress, MoveStage, MoveTracker, Verdict, duty_rank, judge};
+use crate::{
+    FleetView, MoveEvidence, MoveProgress, MoveStage, MoveTracker, Verdict, duty_rank, judge,
+};
 use heatherhinge_orders::MoveOrder;
 use heatherhinge_types::{MonoNs, Name};
 use std::collections::BTreeMap;
@@ -72,6 +74,8 @@
         stage: MoveStage,
         /// Why the stage was entered.
         reason: &'static str,
+        /// What the host knew of both versions.
+        evidence: MoveEvidence,
     },
 }
 
@@ -234,6 +238,7 @@
                 service: service.clone(),
                 stage: after,
                 reason: reason.unwrap_or("another host or the stored report has this stage"),
+                evidence: self.evidence(&peers, now),
             });
         }
         if let Some(effect) = self.report_effect(service, &peers, own, fleet, now) {
@@ -301,6 +306,11 @@
         None
     }
 
+    fn evidence(&self, peers: &[&MoveProgress], now: MonoNs) -> MoveEvidence {
+        let own = self.tracker.state(now.ms_since(self.started));
+        MoveEvidence::new(&own, peers, self.tracker.share())
+    }
+
     fn wanted_report(&self, peers: &[&MoveProgress], now: MonoNs) -> Option<ReportedState> {
         match self.tracker.stage() {
             MoveStage::Canary | MoveStage::Ramp => Some(ReportedState::Running),
--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -58,13 +58,28 @@
     /// Version of the store at which the order was written; it identifies the move.
     pub order_version: u64,
     stage: AtomicU8,
-    total: AtomicU64,
-    moved: AtomicU64,
+    searches: AtomicU64,
+    moving_searches: AtomicU64,
+    requests: AtomicU64,
+    moving_sends: AtomicU64,
     current_in_flight: AtomicU32,
     routes: BTreeMap<Name, RouteCounts>,
     other_routes: RouteCounts,
 }
 
+/// How one host has split its requests between the sides of a move.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ShareCounts {
+    /// Searches for a target.
+    pub searches: u64,
+    /// Searches among the targets of the new version.
+    pub moving_searches: u64,
+    /// Requests that were sent to any target.
+    pub requests: u64,
+    /// Sends to targets of the new version, retries included.
+    pub moving_sends: u64,
+}
+
 /// Outcome of a request that counts for the move.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum MoveSample {
@@ -87,8 +102,10 @@
             order,
             order_version,
             stage: AtomicU8::new(MoveStage::Canary.code()),
-            total: AtomicU64::new(0),
-            moved: AtomicU64::new(0),
+            searches: AtomicU64::new(0),
+            moving_searches: AtomicU64::new(0),
+            requests: AtomicU64::new(0),
+            moving_sends: AtomicU64::new(0),
             current_in_flight: AtomicU32::new(0),
             routes: routes
                 .iter()
@@ -109,13 +126,13 @@
         self.stage.store(stage.code(), Ordering::Release);
     }
 
-    /// Chooses the side of the next request and counts the request there.
+    /// Chooses the side of the next search for a target and counts the search there.
     pub fn choose_side(&self) -> Side {
-        let total = self.total.fetch_add(1, Ordering::Relaxed) + 1;
+        let total = self.searches.fetch_add(1, Ordering::Relaxed) + 1;
         match self.stage() {
             MoveStage::RolledBack => Side::Current,
             MoveStage::Shift | MoveStage::Completed => {
-                self.moved.fetch_add(1, Ordering::Relaxed);
+                self.moving_searches.fetch_add(1, Ordering::Relaxed);
                 Side::Moving
             }
             MoveStage::Canary => self.take_exposure(total, CANARY_MILLI),
@@ -128,11 +145,11 @@
 
     fn take_exposure(&self, total: u64, share_milli: u64) -> Side {
         let cap = total * share_milli / 1_000 + 1;
-        let taken = self
-            .moved
-            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |moved| {
-                (moved < cap).then_some(moved + 1)
-            });
+        let taken =
+            self.moving_searches
+                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |moved| {
+                    (moved < cap).then_some(moved + 1)
+                });
         if taken.is_ok() {
             Side::Moving
         } else {
@@ -140,11 +157,14 @@
         }
     }
 
-    /// Counts a request as sent to a side.
-    pub fn begin(&self, side: Side) {
-        if side == Side::Current {
-            self.current_in_flight.fetch_add(1, Ordering::AcqRel);
-        }
+    /// Counts a request as sent to a side; `is_first_send` tells whether it was sent nowhere before.
+    pub fn begin(&self, side: Side, is_first_send: bool) {
+        self.requests
+            .fetch_add(u64::from(is_first_send), Ordering::Relaxed);
+        match side {
+            Side::Current => self.current_in_flight.fetch_add(1, Ordering::AcqRel).into(),
+            Side::Moving => self.moving_sends.fetch_add(1, Ordering::Relaxed),
+        };
     }
 
     /// Counts a request as ended at a side.
@@ -173,6 +193,17 @@
         }
     }
 
+    /// Returns how this host has split its requests so far.
+    #[must_use]
+    pub fn share(&self) -> ShareCounts {
+        ShareCounts {
+            searches: self.searches.load(Ordering::Relaxed),
+            moving_searches: self.moving_searches.load(Ordering::Relaxed),
+            requests: self.requests.load(Ordering::Relaxed),
+            moving_sends: self.moving_sends.load(Ordering::Relaxed),
+        }
+    }
+
     /// Returns the progress for gossip, with `is_reported` unset.
     #[must_use]
     pub fn state(&self, elapsed_ms: u64) -> MoveProgress {
