Prove a new version by its own responses, not by the current one's failures

Cause: a new version was judged only by comparison. When the current version failed as often, the comparison found no difference, the verdict was "good", and the shift stage gave the new version all requests; one host reported the move as completed. The class is a missing difference taken for a proof. Change: the comparison may only take a version back. A version is proven when the share of its failed and slow responses is known to be below 15%, on each route that speaks against it too; one that is known to be above it is taken back after 30 of them, and one that is still unproven when the report is due is taken back then. judges_new_versions expected "good" for 9 failures in 40 beside 60 in 300: that case is the fault itself. It is Unproven now, which still guards against judging a good version bad, and six cases were added. Evidence: 8 cases of tests/moves.rs fail on the code before.

--- a/crates/steering/src/move_control.rs
+++ b/crates/steering/src/move_control.rs
@@ -20,7 +20,7 @@
 /// In this time every host learns of the shift and ends its requests at the old version.
 const SHIFT_MIN_MS: u64 = 1_300;
 /// Time before the end of the move at which it is reported even with requests at the old version,
-/// in milliseconds. Reading and writing the report takes 0.4 s, and the hosts responsible for it
+/// or rolled back if its version is not proven, in milliseconds. Reading and writing the report takes 0.4 s, and the hosts responsible for it
 /// may have stopped.
 const REPORT_MARGIN_MS: u64 = 2_000;
 /// Time after which the next host by duty rank takes over, in milliseconds.
@@ -283,9 +283,16 @@
                 .flat_map(|peer| &peer.routes)
                 .chain(&own.routes),
         );
-        if verdict == Verdict::Bad {
+        let rollback_reason = match verdict {
+            Verdict::Worse => {
+                Some("the new version has more failed or slow responses than the current one")
+            }
+            Verdict::Failing => Some("the new version has too many failed or slow responses"),
+            Verdict::Unclear | Verdict::Unproven | Verdict::Good => None,
+        };
+        if rollback_reason.is_some() {
             self.enter(MoveStage::RolledBack, now);
-            return Some("the new version has more failed or slow responses than the current one");
+            return rollback_reason;
         }
         let takeover_delay_ms = u64::try_from(duty_rank?)
             .ok()?
@@ -303,6 +310,13 @@
             self.enter(MoveStage::Shift, now);
             return Some("failed and slow responses of the new version are within the bounds");
         }
+        if stage < MoveStage::Shift
+            && verdict == Verdict::Unproven
+            && elapsed_ms + REPORT_MARGIN_MS >= duration_ms
+        {
+            self.enter(MoveStage::RolledBack, now);
+            return Some("the new version could not be shown to be good in time");
+        }
         None
     }
 
--- a/crates/steering/src/move_state.rs
+++ b/crates/steering/src/move_state.rs
@@ -59,6 +59,14 @@
     pub slow: u32,
 }
 
+impl Tally {
+    /// Returns the number of responses that were bad or slow.
+    #[must_use]
+    pub const fn faults(&self) -> u32 {
+        self.bad.saturating_add(self.slow)
+    }
+}
+
 impl AddAssign for Tally {
     fn add_assign(&mut self, other: Self) {
         self.answers = self.answers.saturating_add(other.answers);
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -34,15 +34,21 @@
     }
 }
 
-// Guards against bad versions that are not detected, also if only one route fails, and against good
-// versions judged bad because both versions fail.
+// Guards against bad versions that are not detected, also if only one route fails, against good
+// versions judged bad because both versions fail, and against bad ones judged good because of that.
 #[parameterized(
     few = { vec![route("r", tally(100, 0, 0), tally(5, 1, 0))], Verdict::Unclear },
     good = { vec![route("r", tally(500, 2, 3), tally(60, 1, 1))], Verdict::Good },
-    errors = { vec![route("r", tally(100, 0, 0), tally(12, 6, 0))], Verdict::Bad },
-    slow = { vec![route("r", tally(100, 0, 1), tally(15, 0, 7))], Verdict::Bad },
-    one_route = { vec![route("r", tally(900, 2, 0), tally(200, 1, 0)), route("s", tally(90, 0, 0), tally(12, 5, 0))], Verdict::Bad },
-    both_versions_failing = { vec![route("r", tally(300, 60, 0), tally(40, 9, 0))], Verdict::Good },
+    errors = { vec![route("r", tally(100, 0, 0), tally(12, 6, 0))], Verdict::Worse },
+    slow = { vec![route("r", tally(100, 0, 1), tally(15, 0, 7))], Verdict::Worse },
+    one_route = { vec![route("r", tally(900, 2, 0), tally(200, 1, 0)), route("s", tally(90, 0, 0), tally(12, 5, 0))], Verdict::Worse },
+    both_versions_failing = { vec![route("r", tally(300, 60, 0), tally(40, 9, 0))], Verdict::Unproven },
+    both_failing_half = { vec![route("r", tally(1_248, 624, 0), tally(40, 20, 0))], Verdict::Unproven },
+    both_failing_half_for_long = { vec![route("r", tally(1_248, 624, 0), tally(89, 44, 0))], Verdict::Failing },
+    both_slow_for_long = { vec![route("r", tally(1_248, 0, 624), tally(89, 0, 44))], Verdict::Failing },
+    one_route_failing_on_both = { vec![route("r", tally(900, 2, 0), tally(300, 0, 0)), route("s", tally(90, 45, 0), tally(12, 6, 0))], Verdict::Unproven },
+    both_failing_a_little = { vec![route("r", tally(900, 60, 0), tally(100, 6, 0))], Verdict::Good },
+    good_after_a_disruption = { vec![route("r", tally(900, 200, 0), tally(400, 32, 0))], Verdict::Good },
     no_responses_of_current = { vec![route("r", tally(0, 0, 0), tally(30, 1, 0))], Verdict::Good },
 )]
 fn judges_new_versions(tallies: Vec<RouteTally>, expected: Verdict) {
@@ -159,6 +165,53 @@
     assert_eq!(stage(&control), MoveStage::Completed);
 }
 
+/// Counts `answers` responses of the new version and ten times as many of the current one;
+/// `failed_in_10` in ten of them fail.
+fn count_on_both_sides(tracker: &MoveTracker, answers: u32, failed_in_10: u32) {
+    for number in 0..answers {
+        let sample = if number % 10 < failed_in_10 {
+            MoveSample::Bad
+        } else {
+            MoveSample::Good(80_000)
+        };
+        for _ in 0..10 {
+            tracker.count(&Name::new("r"), Side::Current, sample);
+        }
+        tracker.count(&Name::new("r"), Side::Moving, sample);
+    }
+}
+
+// Guards against a bad version that receives all requests because the current version fails as
+// often for another reason.
+#[parameterized(
+    few_failures = { 40, 3 },
+    many_failures = { 90, 5 },
+)]
+fn a_version_is_not_excused_by_failures_of_the_current_one(answers: u32, failed_in_10: u32) {
+    let start = MonoNs::from_ms(1_000);
+    let mut control = control(start);
+    let tracker = std::sync::Arc::clone(&control.trackers()["orders"]);
+    count_on_both_sides(&tracker, answers, failed_in_10);
+    let written = run_alone(&mut control, start, 14_500);
+    assert_eq!(written.last(), Some(&ReportedState::RolledBack));
+    assert!(!written.contains(&ReportedState::Completed));
+}
+
+// Guards against a good version that is rolled back before its time is over because a disruption
+// makes both versions fail for a while.
+#[test]
+fn a_version_may_still_prove_itself_after_a_disruption() {
+    let start = MonoNs::from_ms(1_000);
+    let mut control = control(start);
+    let tracker = std::sync::Arc::clone(&control.trackers()["orders"]);
+    count_on_both_sides(&tracker, 50, 2);
+    run_alone(&mut control, start, 10_000);
+    assert_eq!(stage(&control), MoveStage::Ramp);
+    count_on_both_sides(&tracker, 150, 0);
+    run_alone(&mut control, start.plus_ms(10_000), 2_000);
+    assert!(stage(&control) >= MoveStage::Shift && stage(&control) != MoveStage::RolledBack);
+}
+
 // Guards against a version that is judged good without any responses.
 #[test]
 fn a_move_without_answers_is_not_completed() {
