Count an unproven version's share in requests sent, not in searches

Cause: a host granted the new version 8% of its searches for a target. Searches that found none, repeated searches of a held request and retries all counted as requests, and each was another chance for the request to reach the new version. The class is a limit that is kept in another unit than the one it is promised in. Change: only the first search of a request may go to an unproven version, and it has room only while both its searches and the requests that were sent leave some. Split holds the two counts. exposure_stays_within_its_share counted searches, which is the fault itself; it now counts requests, with the same bound, in three cases. Evidence: two of the three cases fail on the code before.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -99,6 +99,7 @@
         rng: &mut Pcg64Mcg,
     ) -> Result<Placement, Code> {
         let hold_until = call.hold_until();
+        let mut is_first_search = sent.is_empty();
         loop {
             let pool = self
                 .board
@@ -112,7 +113,7 @@
                 return Err(Code::NoTarget);
             };
             let mut side = match &pool.tracker {
-                Some(tracker) => tracker.choose_side(),
+                Some(tracker) => tracker.choose_side(is_first_search),
                 None => Side::Current,
             };
             if pool.group(side).is_empty() && side == Side::Current && pool.may_move_all() {
@@ -134,6 +135,7 @@
                     Code::QueueFull
                 });
             }
+            is_first_search = false;
             sleep(RETRY_PAUSE).await;
         }
     }
--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -50,6 +50,36 @@
     }
 }
 
+/// A count of requests and how many of them were given to the new version.
+#[derive(Debug, Default)]
+struct Split {
+    total: AtomicU64,
+    moving: AtomicU64,
+}
+
+impl Split {
+    /// Returns how many of the requests, the next one included, a share allows.
+    fn allowed(&self, share_milli: u64) -> u64 {
+        let next = self.total.load(Ordering::Relaxed) + 1;
+        next * share_milli / 1_000 + 1
+    }
+
+    /// Returns whether one more request stays within a share.
+    fn has_room(&self, share_milli: u64) -> bool {
+        self.moving.load(Ordering::Relaxed) < self.allowed(share_milli)
+    }
+
+    /// Takes one request from a share and returns whether there was room.
+    fn take(&self, share_milli: u64) -> bool {
+        let allowed = self.allowed(share_milli);
+        self.moving
+            .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |moving| {
+                (moving < allowed).then_some(moving + 1)
+            })
+            .is_ok()
+    }
+}
+
 /// A move in progress: chooses the side of each request and counts the responses of both sides.
 #[derive(Debug)]
 pub struct MoveTracker {
@@ -58,10 +88,8 @@
     /// Version of the store at which the order was written; it identifies the move.
     pub order_version: u64,
     stage: AtomicU8,
-    searches: AtomicU64,
-    moving_searches: AtomicU64,
-    requests: AtomicU64,
-    moving_sends: AtomicU64,
+    searches: Split,
+    sends: Split,
     current_in_flight: AtomicU32,
     routes: BTreeMap<Name, RouteCounts>,
     other_routes: RouteCounts,
@@ -70,9 +98,9 @@
 /// How one host has split its requests between the sides of a move.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ShareCounts {
-    /// Searches for a target.
+    /// First searches for a target while the new version is unproven.
     pub searches: u64,
-    /// Searches among the targets of the new version.
+    /// Those of them among the targets of the new version.
     pub moving_searches: u64,
     /// Requests that were sent to any target.
     pub requests: u64,
@@ -102,10 +130,8 @@
             order,
             order_version,
             stage: AtomicU8::new(MoveStage::Canary.code()),
-            searches: AtomicU64::new(0),
-            moving_searches: AtomicU64::new(0),
-            requests: AtomicU64::new(0),
-            moving_sends: AtomicU64::new(0),
+            searches: Split::default(),
+            sends: Split::default(),
             current_in_flight: AtomicU32::new(0),
             routes: routes
                 .iter()
@@ -126,31 +152,26 @@
         self.stage.store(stage.code(), Ordering::Release);
     }
 
-    /// Chooses the side of the next search for a target and counts the search there.
-    pub fn choose_side(&self) -> Side {
-        let total = self.searches.fetch_add(1, Ordering::Relaxed) + 1;
+    /// Chooses the side on which a target is searched for. An unproven version is offered only the
+    /// first search of a request, because each further one is another chance to reach it.
+    #[must_use]
+    pub fn choose_side(&self, is_first_search: bool) -> Side {
         match self.stage() {
             MoveStage::RolledBack => Side::Current,
-            MoveStage::Shift | MoveStage::Completed => {
-                self.moving_searches.fetch_add(1, Ordering::Relaxed);
-                Side::Moving
-            }
-            MoveStage::Canary => self.take_exposure(total, CANARY_MILLI),
-            MoveStage::Ramp if total % 1_000 % 20 * 50 < RAMP_MILLI => {
-                self.take_exposure(total, EXPOSURE_MILLI)
-            }
-            MoveStage::Ramp => Side::Current,
+            MoveStage::Shift | MoveStage::Completed => Side::Moving,
+            MoveStage::Canary | MoveStage::Ramp if !is_first_search => Side::Current,
+            MoveStage::Canary => self.explore(1_000, CANARY_MILLI),
+            MoveStage::Ramp => self.explore(RAMP_MILLI, EXPOSURE_MILLI),
         }
     }
 
-    fn take_exposure(&self, total: u64, share_milli: u64) -> Side {
-        let cap = total * share_milli / 1_000 + 1;
-        let taken =
-            self.moving_searches
-                .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |moved| {
-                    (moved < cap).then_some(moved + 1)
-                });
-        if taken.is_ok() {
+    /// Offers the new version up to `rate_milli` of the next searches, as long as it has received
+    /// less than `share_milli` of all searches and of the requests that were sent. Searches alone
+    /// are no measure, because those that find no target count too.
+    fn explore(&self, rate_milli: u64, share_milli: u64) -> Side {
+        let search = self.searches.total.fetch_add(1, Ordering::Relaxed);
+        let is_offered = search % 20 * 50 < rate_milli;
+        if is_offered && self.sends.has_room(share_milli) && self.searches.take(share_milli) {
             Side::Moving
         } else {
             Side::Current
@@ -159,12 +180,16 @@
 
     /// Counts a request as sent to a side; `is_first_send` tells whether it was sent nowhere before.
     pub fn begin(&self, side: Side, is_first_send: bool) {
-        self.requests
-            .fetch_add(u64::from(is_first_send), Ordering::Relaxed);
+        let first = u64::from(is_first_send);
+        self.sends.total.fetch_add(first, Ordering::Relaxed);
         match side {
-            Side::Current => self.current_in_flight.fetch_add(1, Ordering::AcqRel).into(),
-            Side::Moving => self.moving_sends.fetch_add(1, Ordering::Relaxed),
-        };
+            Side::Current => {
+                self.current_in_flight.fetch_add(1, Ordering::AcqRel);
+            }
+            Side::Moving => {
+                self.sends.moving.fetch_add(1, Ordering::Relaxed);
+            }
+        }
     }
 
     /// Counts a request as ended at a side.
@@ -197,10 +222,10 @@
     #[must_use]
     pub fn share(&self) -> ShareCounts {
         ShareCounts {
-            searches: self.searches.load(Ordering::Relaxed),
-            moving_searches: self.moving_searches.load(Ordering::Relaxed),
-            requests: self.requests.load(Ordering::Relaxed),
-            moving_sends: self.moving_sends.load(Ordering::Relaxed),
+            searches: self.searches.total.load(Ordering::Relaxed),
+            moving_searches: self.searches.moving.load(Ordering::Relaxed),
+            requests: self.sends.total.load(Ordering::Relaxed),
+            moving_sends: self.sends.moving.load(Ordering::Relaxed),
         }
     }
 
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -55,25 +55,58 @@
     assert_eq!(judge(tallies.iter()), expected);
 }
 
-// Guards against an unproven version that receives more than a tenth of all requests in any stage
-// before it is judged good.
-#[test]
-fn exposure_stays_within_its_share() {
-    let tracker = MoveTracker::new(order(), ORDER_VERSION, &[]);
-    let mut moved = 0_u32;
-    for total in 1..=4_000_u32 {
-        if total == 1_500 {
-            tracker.set_stage(MoveStage::Ramp);
+/// Requests that were sent, and those of them that reached the new version.
+#[derive(Default)]
+struct Sent {
+    all: u32,
+    moved: u32,
+}
+
+impl Sent {
+    /// Sends `requests` requests. The current version has a target for one in
+    /// `current_finds_one_in` of them, the new one has a target for all, and each request that was
+    /// sent is sent `retries` times more.
+    fn send(&mut self, tracker: &MoveTracker, current_finds_one_in: u32, retries: u32) {
+        for request in 0..2_000 {
+            let side = tracker.choose_side(true);
+            if side == Side::Current && request % current_finds_one_in > 0 {
+                continue;
+            }
+            tracker.begin(side, true);
+            let mut is_moved = side == Side::Moving;
+            for _ in 0..retries {
+                let side = tracker.choose_side(false);
+                tracker.begin(side, false);
+                is_moved |= side == Side::Moving;
+            }
+            self.all += 1;
+            self.moved += u32::from(is_moved);
+            let Self { all, moved } = self;
+            assert!(*moved * 10 <= *all + 20, "{moved} of {all}");
         }
-        moved += u32::from(tracker.choose_side() == Side::Moving);
-        assert!(moved * 10 <= total + 20, "{moved} of {total}");
     }
+}
+
+// Guards against an unproven version that receives more than a tenth of all requests in any stage,
+// also if the current version has no room for most requests or if requests are retried.
+#[parameterized(
+    calm = { 1, 0 },
+    current_version_full = { 4, 0 },
+    retries = { 1, 2 },
+)]
+fn exposure_stays_within_its_share(current_finds_one_in: u32, retries: u32) {
+    let tracker = MoveTracker::new(order(), ORDER_VERSION, &[]);
+    let mut sent = Sent::default();
+    sent.send(&tracker, current_finds_one_in, retries);
+    tracker.set_stage(MoveStage::Ramp);
+    sent.send(&tracker, current_finds_one_in, retries);
+    let Sent { all, moved } = sent;
     assert!(
-        moved > 250,
-        "moved {moved} of 4000: the ramp stage did not use the unused canary share"
+        moved * 16 > all,
+        "{moved} of {all}: the ramp stage did not use the unused canary share"
     );
     tracker.set_stage(MoveStage::RolledBack);
-    assert!((0..100).all(|_| tracker.choose_side() == Side::Current));
+    assert!((0..100).all(|_| tracker.choose_side(true) == Side::Current));
 }
 
 fn control(now: MonoNs) -> MoveControl {
