Try an unproven version on so few targets that they bear their usual load

Cause: the 8% of the requests that an unproven version receives were spread over all of its targets, so each of them had a twelfth of its usual load. The version looked good (8 of 180 responses failed) until the shift gave it all requests, and its failures then took two seconds to become significant among the earlier good responses. The class is a test under conditions that leave out what it is meant to find. ServicePool::choose returns the side and the targets of a search, which the placer put together itself before. Open: a version that turns bad only after it has been proven.

--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -112,14 +112,7 @@
             let Some(pool) = pool else {
                 return Err(Code::NoTarget);
             };
-            let mut side = match &pool.tracker {
-                Some(tracker) => tracker.choose_side(is_first_search),
-                None => Side::Current,
-            };
-            if pool.group(side).is_empty() && side == Side::Current && pool.may_move_all() {
-                side = Side::Moving;
-            }
-            let group = pool.group(side);
+            let (side, group) = pool.choose(is_first_search);
             if let Some(probed) = self.search(call, group, sent, selection_mode, rng).await {
                 let tracker = pool.tracker.clone();
                 return Ok(Placement {
--- a/crates/gateway/src/target_registry.rs
+++ b/crates/gateway/src/target_registry.rs
@@ -82,7 +82,7 @@
     table
         .pools
         .values()
-        .flat_map(|pool| [&pool.current, &pool.moving])
+        .flat_map(|pool| [&pool.current, &pool.moving, &pool.trial])
         .flat_map(|group| group.near.iter().chain(&group.far))
         .map(|target| target.id().clone())
         .collect()
--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -11,7 +11,7 @@
 /// Largest share of all requests since the order that an unproven version may receive, in
 /// thousandths. The requirements allow a tenth; the rest covers hosts that restart and count from
 /// 0.
-const EXPOSURE_MILLI: u64 = 80;
+pub(crate) const EXPOSURE_MILLI: u64 = 80;
 /// Share of the requests in the ramp stage, in thousandths, until [`EXPOSURE_MILLI`] is reached.
 const RAMP_MILLI: u64 = 350;
 
--- a/crates/steering/src/target_control.rs
+++ b/crates/steering/src/target_control.rs
@@ -1,5 +1,6 @@
 //! Builds the routing snapshot from the registered targets, the orders and the live hosts.
 
+use crate::move_tracker::EXPOSURE_MILLI;
 use crate::{
     DutyRanking, FleetView, MoveTracker, ServicePool, Target, TargetCell, TargetGroup, TargetTable,
 };
@@ -15,6 +16,9 @@
 /// Targets of a service that a host uses in its own zone, and in all others together. It bounds a
 /// host's connections and their buffers; with a hundred hosts each target is still used by several.
 const SUBSET_SIZE: usize = 24;
+/// Targets that an unproven version is tried on at least, so that one that is broken or slow does
+/// not stand for the version.
+const MIN_TRIAL_TARGETS: usize = 2;
 /// Gap between copies of the registrations, in milliseconds, from which missing entries may have
 /// lapsed because their targets could not renew them.
 const OUTAGE_GAP_MS: u64 = 2_000;
@@ -144,6 +148,7 @@
             add(group, known, spec, may_send_while_cold, inputs.zone);
         }
         for pool in pools.values_mut() {
+            pool.trial = trial_targets(&pool.moving);
             for group in [&mut pool.current, &mut pool.moving] {
                 truncate_to_subset(&mut group.near, inputs.host);
                 truncate_to_subset(&mut group.far, inputs.host);
@@ -181,6 +186,25 @@
     }
 }
 
+/// Returns the targets that an unproven version is tried on. They are the first by hash, so that all
+/// hosts use the same ones.
+fn trial_targets(moving: &TargetGroup) -> TargetGroup {
+    let hash = |target: &Arc<Target>| Digest::of(target.id().as_bytes()).0;
+    let share = u64::try_from(moving.len()).unwrap_or(u64::MAX) * EXPOSURE_MILLI;
+    let count = usize::try_from(share.div_ceil(1_000)).unwrap_or(usize::MAX);
+    let mut hashes: Vec<_> = moving.near.iter().chain(&moving.far).map(hash).collect();
+    hashes.sort_unstable();
+    hashes.truncate(count.max(MIN_TRIAL_TARGETS));
+    let pick = |targets: &[Arc<Target>]| -> Vec<Arc<Target>> {
+        let is_tried = |target: &&Arc<Target>| hashes.contains(&hash(target));
+        targets.iter().filter(is_tried).cloned().collect()
+    };
+    TargetGroup {
+        near: pick(&moving.near),
+        far: pick(&moving.far),
+    }
+}
+
 /// Truncates `targets` to the subset of this host, chosen by rendezvous hashing. Targets that it
 /// sends to while they are cold come first.
 fn truncate_to_subset(targets: &mut Vec<Arc<Target>>, host: &Name) {
--- a/crates/steering/src/target_table.rs
+++ b/crates/steering/src/target_table.rs
@@ -35,25 +35,31 @@
     pub current: TargetGroup,
     /// Targets of the new version of a move.
     pub moving: TargetGroup,
+    /// Those of the new version that receive its share while it is unproven, the same on all hosts.
+    /// They are so few that each bears about its usual load, because some versions fail only under
+    /// load.
+    pub trial: TargetGroup,
     /// The move in progress, if there is one.
     pub tracker: Option<Arc<MoveTracker>>,
 }
 
 impl ServicePool {
-    /// Returns whether all requests may go to the new version when the current one has no targets.
+    /// Chooses the side of a search and the targets to search among; see
+    /// [`MoveTracker::choose_side`]. Without a move all targets are on [`Side::Current`]. When the
+    /// old versions have no targets, all requests go to the new one unless it was rolled back.
     #[must_use]
-    pub fn may_move_all(&self) -> bool {
-        self.tracker
-            .as_ref()
-            .is_some_and(|tracker| tracker.stage() != MoveStage::RolledBack)
-    }
-
-    /// Returns the targets of a side. Without a move all targets are on [`Side::Current`].
-    #[must_use]
-    pub const fn group(&self, side: Side) -> &TargetGroup {
-        match side {
-            Side::Current => &self.current,
-            Side::Moving => &self.moving,
+    pub fn choose(&self, is_first_search: bool) -> (Side, &TargetGroup) {
+        let Some(tracker) = &self.tracker else {
+            return (Side::Current, &self.current);
+        };
+        let stage = tracker.stage();
+        match tracker.choose_side(is_first_search) {
+            Side::Current if self.current.is_empty() && stage != MoveStage::RolledBack => {
+                (Side::Moving, &self.moving)
+            }
+            Side::Current => (Side::Current, &self.current),
+            Side::Moving if stage < MoveStage::Shift => (Side::Moving, &self.trial),
+            Side::Moving => (Side::Moving, &self.moving),
         }
     }
 }
