Log and keep the rate limits that targets name

Seen by callers: nothing; targets in need got more requests than the limit they had named. Cause: the header Server-Limit was not read, and no line said that a target had named it. Change: the adapter knows the header, TargetCell keeps the limit of the last response, and a line says when a limit begins or ends and which kind of response told it. Nothing is decided by it yet.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -6,10 +6,11 @@
 use crate::connection_pools::ConnectionPool;
 use crate::in_flight::InFlight;
 use crate::probe::header_text;
+use crate::rate_limits::{ResponseKind, record_rate_limit};
 use crate::response_body::{ResponseBody, StreamedResponse};
 use bytes::Bytes;
 use heatherhinge_proxy::strip_hop_by_hop;
-use heatherhinge_steering::{AttemptOutcome, Target, TargetLoad};
+use heatherhinge_steering::{AttemptOutcome, SteeringBoard, Target, TargetLoad};
 use heatherhinge_types::{MonoNs, Name};
 use http::header::{CONTENT_LENGTH, EXPECT};
 use http::{HeaderMap, HeaderValue, Request, Response, StatusCode, Uri, Version};
@@ -42,6 +43,7 @@
 /// A request to be sent to a target.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest<'a> {
+    pub(crate) board: &'a SteeringBoard,
     pub(crate) call: &'a Call,
     pub(crate) headers: &'a WireHeaders,
     pub(crate) target: &'a Target,
@@ -105,6 +107,14 @@
                 "the response belongs to another request",
             );
         }
+        record_rate_limit(
+            self.board,
+            self.headers,
+            self.target,
+            &head.headers,
+            ResponseKind::Request,
+            self.now,
+        );
         let is_not_run = head.headers.contains_key(&self.headers.not_run)
             || head.status == StatusCode::MISDIRECTED_REQUEST;
         if is_not_run {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -306,6 +306,7 @@
             sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
             let outgoing = OutgoingRequest {
+                board: &self.board,
                 call,
                 headers: &self.headers,
                 target: &target,
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -29,6 +29,7 @@
 mod platform;
 mod probe;
 mod progress;
+mod rate_limits;
 mod refusal;
 mod request_log;
 mod response_body;
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -94,6 +94,8 @@
     pub target_id: HeaderName,
     /// How much longer a target stays cold, in milliseconds.
     pub cold_ms: HeaderName,
+    /// Requests per second that a target takes from all hosts together.
+    pub rate_limit: HeaderName,
 }
 
 /// The platform: its store, and the encoding of its rows and headers.
--- a/crates/gateway/src/probe.rs
+++ b/crates/gateway/src/probe.rs
@@ -3,6 +3,7 @@
 use crate::WireHeaders;
 use crate::connection::{Connection, SendError};
 use crate::connection_pools::{ConnectionPool, ConnectionPools};
+use crate::rate_limits::{ResponseKind, record_rate_limit};
 use bytes::Bytes;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{SteeringBoard, Target, TargetLoad, USUAL_SLOWNESS_PERCENT};
@@ -160,6 +161,14 @@
             cell.avoid_until(now.plus_ms(MISDIRECTED_MS));
             return None;
         }
+        record_rate_limit(
+            &self.board,
+            &self.headers,
+            target,
+            headers,
+            ResponseKind::Probe,
+            now,
+        );
         let cold_ms =
             header_text(headers, &self.headers.cold_ms).and_then(|text| text.parse().ok());
         if let Some(cold_ms) = cold_ms {
--- a/crates/steering/src/target_cell.rs
+++ b/crates/steering/src/target_cell.rs
@@ -1,5 +1,6 @@
 //! Per-target state that requests update with atomics.
 
+use crate::RateLimit;
 use heatherhinge_types::MonoNs;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 
@@ -10,9 +11,23 @@
 /// Half-life of the failure penalty, in milliseconds.
 const FAILURE_PENALTY_HALF_LIFE_MS: u64 = 1_000;
 
+/// Stands for a target without a rate limit.
+const UNLIMITED: u64 = u64::MAX;
+
+/// How a response changed what is known of a target's rate limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum RateLimitChange {
+    /// The target has a limit now and had none before.
+    Began,
+    /// The target has no limit any more.
+    Ended,
+    /// The target has a limit as before, perhaps another one, or still has none.
+    Unchanged,
+}
+
 /// State of a target that any request may update; readers tolerate values that are milliseconds
 /// old.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct TargetCell {
     in_flight: AtomicU32,
     cold_until_ns: AtomicU64,
@@ -21,6 +36,22 @@
     failure_penalty_percent: AtomicU32,
     last_failure_at_ns: AtomicU64,
     next_cold_token_at_ns: AtomicU64,
+    /// [`UNLIMITED`] if the target names no limit.
+    rate_limit_milli: AtomicU64,
+}
+
+impl Default for TargetCell {
+    fn default() -> Self {
+        Self {
+            in_flight: AtomicU32::new(0),
+            cold_until_ns: AtomicU64::new(0),
+            avoid_until_ns: AtomicU64::new(0),
+            failure_penalty_percent: AtomicU32::new(0),
+            last_failure_at_ns: AtomicU64::new(0),
+            next_cold_token_at_ns: AtomicU64::new(0),
+            rate_limit_milli: AtomicU64::new(UNLIMITED),
+        }
+    }
 }
 
 impl TargetCell {
@@ -56,6 +87,24 @@
         self.cold_until_ns.load(Ordering::Relaxed) > now.0
     }
 
+    /// Sets the rate limit that the target's last response named, if any.
+    pub fn set_rate_limit(&self, limit: Option<RateLimit>) -> RateLimitChange {
+        let milli = limit.map_or(UNLIMITED, |limit| limit.milli_per_s);
+        let before = self.rate_limit_milli.swap(milli, Ordering::Relaxed);
+        match (before == UNLIMITED, milli == UNLIMITED) {
+            (true, false) => RateLimitChange::Began,
+            (false, true) => RateLimitChange::Ended,
+            _ => RateLimitChange::Unchanged,
+        }
+    }
+
+    /// Returns the rate limit that the target's last response named.
+    #[must_use]
+    pub fn rate_limit(&self) -> Option<RateLimit> {
+        let milli_per_s = self.rate_limit_milli.load(Ordering::Relaxed);
+        (milli_per_s != UNLIMITED).then_some(RateLimit { milli_per_s })
+    }
+
     /// Excludes the target from selection until a time; an earlier time than the current one has no
     /// effect.
     pub fn avoid_until(&self, until: MonoNs) {
