Share a target's rate limit between few hosts

Cause: the limit was known from the response to the probe before each send, and nothing used it. The class is a limit of the whole fleet that no host is responsible for. Change: cold targets had that responsibility already. Target::pace covers both: the first host by rank feeds a cold target, and the first three, or one for each 2 requests a second of a higher limit, share a rate limit evenly. Probes skip targets that this host may not send to now. A token that is taken late brings the next one forward by up to half an interval, or a host with few requests would leave part of its share unused. A limit is forgotten 3 s after the last response that named it, because a host that does not feed the target gets no others.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,7 +9,7 @@
 use crate::rate_limits::{ResponseKind, record_rate_limit};
 use crate::response_body::{ResponseBody, StreamedResponse};
 use bytes::Bytes;
-use heatherhinge_proxy::strip_hop_by_hop;
+use heatherhinge_proxy::{Clock, strip_hop_by_hop};
 use heatherhinge_steering::{AttemptOutcome, SteeringBoard, Target, TargetLoad};
 use heatherhinge_types::{MonoNs, Name};
 use http::header::{CONTENT_LENGTH, EXPECT};
@@ -48,6 +48,7 @@
     pub(crate) headers: &'a WireHeaders,
     pub(crate) target: &'a Target,
     pub(crate) now: MonoNs,
+    pub(crate) clock: Clock,
 }
 
 /// Outcome of an exchange, its response if there is one, and the cause for the log.
@@ -113,7 +114,7 @@
             self.target,
             &head.headers,
             ResponseKind::Request,
-            self.now,
+            self.clock.mono_ns(),
         );
         let is_not_run = head.headers.contains_key(&self.headers.not_run)
             || head.status == StatusCode::MISDIRECTED_REQUEST;
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -311,6 +311,7 @@
                 headers: &self.headers,
                 target: &target,
                 now: started,
+                clock: self.clock,
             };
             let (end, response, cause) = outgoing
                 .exchange(connection, connection_pool, in_flight)
--- a/crates/gateway/src/placement.rs
+++ b/crates/gateway/src/placement.rs
@@ -201,7 +201,8 @@
     }
 
     /// Removes and returns the target with the lowest cost among those that fit at least as well as
-    /// `worst`. A cold target is skipped unless its rate limit has a token, which is then taken.
+    /// `worst`. One that is cold or names a rate limit is skipped unless this host may send to it
+    /// now.
     fn take_best(&self, search: &mut Search, worst: Fit) -> Option<ProbedTarget> {
         let now = self.clock.mono_ns();
         loop {
@@ -215,11 +216,7 @@
                 .map(|(index, _)| index)?;
             let probed = search.found.swap_remove(best);
             let target = &probed.target;
-            if !target.cell.is_cold(now) {
-                return Some(probed);
-            }
-            let interval_ns = target.cold_interval_ns;
-            if target.may_send_while_cold && target.cell.take_cold_token(now, interval_ns, 1) {
+            if target.take_send(now) {
                 return Some(probed);
             }
         }
--- a/crates/gateway/src/rate_limits.rs
+++ b/crates/gateway/src/rate_limits.rs
@@ -35,7 +35,7 @@
             return;
         }
     };
-    let change = target.cell.set_rate_limit(limit);
+    let change = target.cell.set_rate_limit(now, limit);
     if change == RateLimitChange::Unchanged || !board.log.take(LineKind::Abnormal, now) {
         return;
     }
@@ -43,6 +43,7 @@
         target = %target.id(),
         ?kind,
         milli_per_s = limit.map(|limit| limit.milli_per_s),
+        pace = ?target.pace(now),
         in_flight = target.cell.in_flight(),
         "{}",
         if change == RateLimitChange::Began {
--- a/crates/steering/src/rendezvous.rs
+++ b/crates/steering/src/rendezvous.rs
@@ -27,6 +27,18 @@
         }
     }
 
+    /// Returns the number of hosts that accept callers, this one included.
+    #[must_use]
+    pub fn len(&self) -> usize {
+        self.others.len() + usize::from(self.own.is_some())
+    }
+
+    /// Returns whether no host accepts callers.
+    #[must_use]
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
     /// Returns the rank of this host for a duty among the hosts that accept callers, starting at 0.
     ///
     /// A host that does not accept callers or is not settled has no rank.
--- a/crates/steering/src/sample.rs
+++ b/crates/steering/src/sample.rs
@@ -38,7 +38,7 @@
 ) -> Vec<Arc<Target>> {
     let is_eligible = |target: &&Arc<Target>| {
         !target.cell.is_avoided(now)
-            && (target.may_send_while_cold || !target.cell.is_cold(now))
+            && target.may_send(now)
             && !probed
                 .iter()
                 .any(|other| Arc::ptr_eq(&other.cell, &target.cell))
--- a/crates/steering/src/target.rs
+++ b/crates/steering/src/target.rs
@@ -1,8 +1,8 @@
 //! One target in the routing snapshot.
 
-use crate::TargetCell;
+use crate::{Pace, TargetCell};
 use heatherhinge_orders::TargetEntry;
-use heatherhinge_types::Name;
+use heatherhinge_types::{MonoNs, Name};
 use std::sync::Arc;
 
 /// A registered target with the state that this host keeps for it.
@@ -14,8 +14,11 @@
     pub health_path: Name,
     /// Time between requests of one host to the target while it is cold, in nanoseconds.
     pub cold_interval_ns: u64,
-    /// Whether this host may send to the target while it is cold.
-    pub may_send_while_cold: bool,
+    /// Rank of this host among those that may send to the target while it is cold or names a rate
+    /// limit; `None` if this host may not.
+    pub feeder_rank: Option<usize>,
+    /// Hosts that are ranked.
+    pub ranked_hosts: usize,
     /// State that requests update.
     pub cell: Arc<TargetCell>,
 }
@@ -26,4 +29,39 @@
     pub fn id(&self) -> &Name {
         &self.entry.id
     }
+
+    /// Returns when this host may send to the target.
+    #[must_use]
+    pub fn pace(&self, now: MonoNs) -> Pace {
+        let cold = if self.cell.is_cold(now) {
+            Pace::cold(self.cold_interval_ns, self.feeder_rank)
+        } else {
+            Pace::Free
+        };
+        let limited = match self.cell.rate_limit(now) {
+            Some(limit) => Pace::limited(limit, self.feeder_rank, self.ranked_hosts),
+            None => Pace::Free,
+        };
+        cold.slower(limited)
+    }
+
+    /// Returns whether this host may send to the target now.
+    #[must_use]
+    pub fn may_send(&self, now: MonoNs) -> bool {
+        match self.pace(now) {
+            Pace::Free => true,
+            Pace::Interval(_) => self.cell.has_token(now),
+            Pace::Never => false,
+        }
+    }
+
+    /// Takes what one request to the target needs, and returns whether this host may send it.
+    #[must_use]
+    pub fn take_send(&self, now: MonoNs) -> bool {
+        match self.pace(now) {
+            Pace::Free => true,
+            Pace::Interval(interval_ns) => self.cell.take_token(now, interval_ns),
+            Pace::Never => false,
+        }
+    }
 }
--- a/crates/steering/src/target_cell.rs
+++ b/crates/steering/src/target_cell.rs
@@ -13,6 +13,9 @@
 
 /// Stands for a target without a rate limit.
 const UNLIMITED: u64 = u64::MAX;
+/// Time for which a rate limit holds after the last response that named it, in milliseconds. A host
+/// that may not send to a limited target gets no responses of it and must ask it again.
+const RATE_LIMIT_HOLD_MS: u64 = 3_000;
 
 /// How a response changed what is known of a target's rate limit.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -35,9 +38,10 @@
     /// Failure penalty at `last_failure_at_ns`, before it decays.
     failure_penalty_percent: AtomicU32,
     last_failure_at_ns: AtomicU64,
-    next_cold_token_at_ns: AtomicU64,
+    next_token_at_ns: AtomicU64,
     /// [`UNLIMITED`] if the target names no limit.
     rate_limit_milli: AtomicU64,
+    rate_limit_until_ns: AtomicU64,
 }
 
 impl Default for TargetCell {
@@ -48,8 +52,9 @@
             avoid_until_ns: AtomicU64::new(0),
             failure_penalty_percent: AtomicU32::new(0),
             last_failure_at_ns: AtomicU64::new(0),
-            next_cold_token_at_ns: AtomicU64::new(0),
+            next_token_at_ns: AtomicU64::new(0),
             rate_limit_milli: AtomicU64::new(UNLIMITED),
+            rate_limit_until_ns: AtomicU64::new(0),
         }
     }
 }
@@ -88,8 +93,10 @@
     }
 
     /// Sets the rate limit that the target's last response named, if any.
-    pub fn set_rate_limit(&self, limit: Option<RateLimit>) -> RateLimitChange {
+    pub fn set_rate_limit(&self, now: MonoNs, limit: Option<RateLimit>) -> RateLimitChange {
         let milli = limit.map_or(UNLIMITED, |limit| limit.milli_per_s);
+        let until = now.plus_ms(RATE_LIMIT_HOLD_MS).0;
+        self.rate_limit_until_ns.store(until, Ordering::Relaxed);
         let before = self.rate_limit_milli.swap(milli, Ordering::Relaxed);
         match (before == UNLIMITED, milli == UNLIMITED) {
             (true, false) => RateLimitChange::Began,
@@ -98,9 +105,12 @@
         }
     }
 
-    /// Returns the rate limit that the target's last response named.
+    /// Returns the rate limit that the target's last response named, unless that was long ago.
     #[must_use]
-    pub fn rate_limit(&self) -> Option<RateLimit> {
+    pub fn rate_limit(&self, now: MonoNs) -> Option<RateLimit> {
+        if self.rate_limit_until_ns.load(Ordering::Relaxed) <= now.0 {
+            return None;
+        }
         let milli_per_s = self.rate_limit_milli.load(Ordering::Relaxed);
         (milli_per_s != UNLIMITED).then_some(RateLimit { milli_per_s })
     }
@@ -149,15 +159,20 @@
         penalty_percent.checked_shr(halvings).unwrap_or(0)
     }
 
-    /// Takes one token of a cold target's rate limit and returns whether there was one.
-    ///
-    /// Requests are at least `interval_ns` apart on average, in bursts of at most `burst`.
-    pub fn take_cold_token(&self, now: MonoNs, interval_ns: u64, burst: u64) -> bool {
-        let slack_ns = interval_ns.saturating_mul(burst.saturating_sub(1));
-        self.next_cold_token_at_ns
+    /// Returns whether [`Self::take_token`] would succeed.
+    #[must_use]
+    pub fn has_token(&self, now: MonoNs) -> bool {
+        self.next_token_at_ns.load(Ordering::Relaxed) <= now.0
+    }
+
+    /// Takes the token of one request to a target that bears few, and returns whether there was
+    /// one. Tokens are `interval_ns` apart; one that is taken late brings the next forward by up to
+    /// half an interval, so that a host with few requests still uses most of the rate.
+    pub fn take_token(&self, now: MonoNs, interval_ns: u64) -> bool {
+        self.next_token_at_ns
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, |at| {
-                let start = at.max(now.0.saturating_sub(slack_ns));
-                (start <= now.0).then(|| start.saturating_add(interval_ns))
+                let start = at.max(now.0.saturating_sub(interval_ns / 2));
+                (at <= now.0).then(|| start.saturating_add(interval_ns))
             })
             .is_ok()
     }
--- a/crates/steering/src/target_control.rs
+++ b/crates/steering/src/target_control.rs
@@ -1,6 +1,7 @@
 //! Builds the routing snapshot from the registered targets, the orders and the live hosts.
 
 use crate::move_tracker::EXPOSURE_MILLI;
+use crate::pace::MIN_FEEDERS;
 use crate::{
     DutyRanking, FleetView, MoveTracker, ServicePool, Target, TargetCell, TargetGroup, TargetTable,
 };
@@ -48,7 +49,7 @@
     pub zones_out: &'a BTreeSet<Name>,
     /// Moves in progress, by service.
     pub trackers: &'a BTreeMap<Name, Arc<MoveTracker>>,
-    /// Live hosts; they decide which host sends to a cold target.
+    /// Live hosts; they decide which hosts send to a cold or rate-limited target.
     pub fleet: &'a FleetView,
 }
 
@@ -122,8 +123,9 @@
     #[must_use]
     pub fn table(&self, stored_version: u64, inputs: &TargetInputs<'_>) -> TargetTable {
         let ranking = DutyRanking::new(inputs.host, inputs.fleet);
-        // Several hosts that are cut off from the fleet would each send to every cold target.
-        let may_send_to_cold = inputs.fleet.sees_majority();
+        // Several hosts that are cut off from the fleet would each send to every cold or
+        // rate-limited target.
+        let may_feed = inputs.fleet.sees_majority();
         let mut pools: BTreeMap<Name, ServicePool> = BTreeMap::new();
         for known in self.targets.values() {
             let entry = &known.entry;
@@ -144,8 +146,15 @@
             } else {
                 &mut pool.current
             };
-            let may_send_while_cold = may_send_to_cold && ranking.duty_rank(&entry.id) == Some(0);
-            add(group, known, spec, may_send_while_cold, inputs.zone);
+            let target = Target {
+                entry: Arc::clone(entry),
+                health_path: spec.health_path.clone(),
+                cold_interval_ns: cold_interval_ns(spec),
+                feeder_rank: ranking.duty_rank(&entry.id).filter(|_| may_feed),
+                ranked_hosts: ranking.len(),
+                cell: Arc::clone(&known.cell),
+            };
+            add(group, target, inputs.zone);
         }
         for pool in pools.values_mut() {
             pool.trial = trial_targets(&pool.moving);
@@ -164,26 +173,13 @@
     }
 }
 
-fn add(
-    group: &mut TargetGroup,
-    known: &Registered,
-    spec: &ServiceSpec,
-    may_send_while_cold: bool,
-    zone: &Name,
-) {
-    let entry = &known.entry;
-    let target = Arc::new(Target {
-        entry: Arc::clone(entry),
-        health_path: spec.health_path.clone(),
-        cold_interval_ns: cold_interval_ns(spec),
-        may_send_while_cold,
-        cell: Arc::clone(&known.cell),
-    });
-    if entry.zone == *zone {
-        group.near.push(target);
+fn add(group: &mut TargetGroup, target: Target, zone: &Name) {
+    let targets = if target.entry.zone == *zone {
+        &mut group.near
     } else {
-        group.far.push(target);
-    }
+        &mut group.far
+    };
+    targets.push(Arc::new(target));
 }
 
 /// Returns the targets that an unproven version is tried on. They are the first by hash, so that all
@@ -205,21 +201,21 @@
     }
 }
 
-/// Truncates `targets` to the subset of this host, chosen by rendezvous hashing. Targets that it
-/// sends to while they are cold come first.
+/// Truncates `targets` to the subset of this host, chosen by rendezvous hashing. Those that it
+/// feeds while they are cold or rate-limited come first.
 fn truncate_to_subset(targets: &mut Vec<Arc<Target>>, host: &Name) {
     if targets.len() <= SUBSET_SIZE {
         return;
     }
     targets.sort_by_cached_key(|target| {
         let weight = Digest::of_parts(&[host.as_bytes(), target.id().as_bytes()]).0;
-        (!target.may_send_while_cold, weight)
+        let may_feed = target.feeder_rank.is_some_and(|rank| rank < MIN_FEEDERS);
+        (!may_feed, weight)
     });
     targets.truncate(SUBSET_SIZE);
 }
 
-/// Returns the time between requests to a cold target, in nanoseconds; the maximum if it takes
-/// none.
+/// Returns the time between requests to a cold target, in nanoseconds; `u64::MAX` if it takes none.
 fn cold_interval_ns(spec: &ServiceSpec) -> u64 {
     let milli_per_s = spec.cold_milli_per_s * COLD_USED_PERCENT / 100;
     1_000_000_000_000_u64
--- a/crates/steering/tests/choosing.rs
+++ b/crates/steering/tests/choosing.rs
@@ -2,8 +2,8 @@
 
 use heatherhinge_orders::{Destination, TargetEntry, TargetPhase};
 use heatherhinge_steering::{
-    AttemptContext, AttemptOutcome, Fit, NextStep, ProbeRoundSize, Target, TargetCell, TargetGroup,
-    TargetLoad, WeightedSplit, after_attempt, cost, fit, sample,
+    AttemptContext, AttemptOutcome, Fit, NextStep, ProbeRoundSize, RateLimit, Target, TargetCell,
+    TargetGroup, TargetLoad, WeightedSplit, after_attempt, cost, fit, sample,
 };
 use heatherhinge_types::{MonoNs, Name};
 use rand::SeedableRng;
@@ -35,7 +35,8 @@
         }),
         health_path: Name::new("/health"),
         cold_interval_ns: 1_000_000,
-        may_send_while_cold: false,
+        feeder_rank: None,
+        ranked_hosts: 1,
         cell: Arc::new(TargetCell::default()),
     })
 }
@@ -64,6 +65,23 @@
     assert_eq!(read, expected);
 }
 
+// Guards against a malformed rate limit that is taken for none, or for an endless one.
+#[parameterized(
+    whole = { "3", Some(3_000) },
+    decimal = { " 0.75 ", Some(750) },
+    zero = { "0", Some(0) },
+    negative = { "-1", None },
+    infinite = { "inf", None },
+    not_a_number = { "NaN", None },
+    too_large = { "1e300", None },
+    word = { "many", None },
+    empty = { "", None },
+)]
+fn parses_rate_limits(text: &str, expected: Option<u64>) {
+    let read = text.parse::<RateLimit>().ok();
+    assert_eq!(read.map(|limit| limit.milli_per_s), expected);
+}
+
 // Guards against sending to a slow or full target while a fast one has a free slot.
 #[parameterized(
     idle = { load(0, 0, 100), 0, Fit::Good },
@@ -121,16 +139,16 @@
     assert_eq!(picked.len(), 3);
 }
 
-// Guards against exceeding the rate limit of a cold target: the requests in any second stay within
-// the rate and the burst.
+// Guards against exceeding what a cold or rate-limited target bears: the requests in any second stay
+// within the rate and one more.
 #[test]
-fn cold_tokens_bound_every_second() {
+fn tokens_bound_every_second() {
     let cell = TargetCell::default();
     let interval_ns = 200_000_000;
     let mut taken = Vec::new();
     for ms in 0..4_000 {
         let now = MonoNs::from_ms(10_000 + ms);
-        if cell.take_cold_token(now, interval_ns, 1) {
+        if cell.take_token(now, interval_ns) {
             taken.push(ms);
         }
     }
--- a/crates/steering/tests/targets.rs
+++ b/crates/steering/tests/targets.rs
@@ -7,11 +7,13 @@
     CallerLimits, MoveOrder, RouteTable, ServiceSpec, TargetEntry, TargetPhase,
 };
 use heatherhinge_steering::{
-    MoveStage, MoveTracker, Side, TargetControl, TargetGroup, TargetInputs, TargetTable,
+    FleetView, HostState, MoveStage, MoveTracker, RateLimit, Side, Target, TargetControl,
+    TargetGroup, TargetInputs, TargetTable,
 };
 use heatherhinge_types::{MonoNs, Name};
 use std::collections::{BTreeMap, BTreeSet};
 use std::sync::Arc;
+use yare::parameterized;
 
 fn service() -> Name {
     Name::new("orders")
@@ -43,6 +45,25 @@
     }
 }
 
+/// Builds the snapshot of a host in a zone.
+fn build(
+    control: &TargetControl,
+    (host, zone): (&str, &str),
+    trackers: &[Arc<MoveTracker>],
+    fleet: &FleetView,
+) -> TargetTable {
+    let by_service = |tracker: &Arc<MoveTracker>| (service(), Arc::clone(tracker));
+    let inputs = TargetInputs {
+        host: &Name::new(host),
+        zone: &Name::new(zone),
+        routes: &routes(),
+        zones_out: &BTreeSet::new(),
+        trackers: &trackers.iter().map(by_service).collect(),
+        fleet,
+    };
+    control.table(1, &inputs)
+}
+
 /// Builds the snapshot of a host from `count` targets of each version in each of two zones.
 fn table(host: &str, zone: &str, count: u16, trackers: &[Arc<MoveTracker>]) -> TargetTable {
     let mut control = TargetControl::default();
@@ -52,18 +73,7 @@
             control.set(entry(version, port, zone), MonoNs::from_ms(1_000));
         }
     }
-    let by_service = |tracker: &Arc<MoveTracker>| (service(), Arc::clone(tracker));
-    control.table(
-        1,
-        &TargetInputs {
-            host: &Name::new(host),
-            zone: &Name::new(zone),
-            routes: &routes(),
-            zones_out: &BTreeSet::new(),
-            trackers: &trackers.iter().map(by_service).collect(),
-            fleet: &fleet(5),
-        },
-    )
+    build(&control, (host, zone), trackers, &fleet(5))
 }
 
 fn tracker() -> Arc<MoveTracker> {
@@ -127,3 +137,109 @@
     tracker.set_stage(MoveStage::RolledBack);
     assert_eq!(pool.choose(false).0, Side::Current);
 }
+
+/// The snapshots of several hosts that send to one rate-limited target.
+struct LimitedTarget {
+    hosts: Vec<Arc<Target>>,
+}
+
+impl LimitedTarget {
+    /// Builds the snapshots of `live` hosts that see each other and no others.
+    fn new(live: u8) -> Self {
+        let view = fleet(live);
+        let target = |host: &HostState| {
+            let mut control = TargetControl::default();
+            control.set(entry("v1", 1, "a"), MonoNs::from_ms(1_000));
+            let table = build(&control, (&host.host, "a"), &[], &view);
+            Arc::clone(&table.pools["orders"].current.near[0])
+        };
+        Self {
+            hosts: view.live.iter().map(target).collect(),
+        }
+    }
+
+    /// Returns the times in milliseconds at which the hosts send when they always have requests.
+    /// Each host learns the limit from the response to a probe before each send.
+    fn send_times(&self, milli_per_s: u64, ms: std::ops::Range<u64>) -> Vec<u64> {
+        let mut times = Vec::new();
+        for at_ms in ms.step_by(10) {
+            let now = MonoNs::from_ms(at_ms);
+            for target in &self.hosts {
+                if !target.may_send(now) {
+                    continue;
+                }
+                target
+                    .cell
+                    .set_rate_limit(now, Some(RateLimit { milli_per_s }));
+                times.extend(target.take_send(now).then_some(at_ms));
+            }
+        }
+        times
+    }
+}
+
+/// Returns the largest number of sends in a window of 4 s.
+fn most_in_4_s(times: &[u64]) -> u64 {
+    let in_window = |start: &u64| {
+        let window = *start..*start + 4_000;
+        times.iter().filter(|at| window.contains(at)).count()
+    };
+    times.iter().map(in_window).max().unwrap_or(0) as u64
+}
+
+// Guards against hosts that each keep to a target's rate limit but exceed it together, and against a
+// limit that is not used.
+#[parameterized(
+    none = { 0, 19 },
+    below_one = { 400, 19 },
+    one = { 1_000, 19 },
+    few_hosts = { 2_700, 3 },
+    one_host = { 2_700, 1 },
+    several = { 9_000, 14 },
+    many_hosts = { 1_600, 130 },
+    high = { 60_000, 14 },
+)]
+fn hosts_share_a_rate_limit(milli_per_s: u64, hosts: u8) {
+    let target = LimitedTarget::new(hosts);
+    let times = target.send_times(milli_per_s, 5_000..65_000);
+    let most = most_in_4_s(&times);
+    let allowed = (milli_per_s * 4 * 3 / 2 + 5_000) / 1_000;
+    assert!(most <= allowed, "{most} in 4 s, allowed {allowed}");
+    let used = times.len() as u64;
+    assert!(
+        used * 1_000 * 10 >= milli_per_s * 60 * 9,
+        "{used} in 60 s at {milli_per_s} thousandths a second"
+    );
+}
+
+// Guards against a target that gets more than it bears while some hosts still count one that has
+// stopped and others have taken its part over.
+#[test]
+fn a_rate_limit_holds_while_hosts_change() {
+    let (before, after) = (LimitedTarget::new(19), LimitedTarget::new(18));
+    let limit = 3_000;
+    let mut times = before.send_times(limit, 5_000..20_000);
+    times.extend(before.send_times(limit, 20_000..21_300));
+    times.extend(after.send_times(limit, 20_000..30_000));
+    times.sort_unstable();
+    let most = most_in_4_s(&times);
+    assert!(most <= 23, "{most} in 4 s, allowed 23");
+}
+
+// Guards against a target that stays limited at hosts which get no responses from it.
+#[test]
+fn a_rate_limit_is_forgotten_unless_it_is_named_again() {
+    let target = &LimitedTarget::new(19).hosts[0];
+    let named = MonoNs::from_ms(5_000);
+    let none = RateLimit { milli_per_s: 0 };
+    target.cell.set_rate_limit(named, Some(none));
+    assert!(!target.may_send(named.plus_ms(2_900)));
+    assert!(
+        target.may_send(named.plus_ms(3_100)),
+        "it must be probed again"
+    );
+    target.cell.set_rate_limit(named.plus_ms(3_100), Some(none));
+    assert!(!target.take_send(named.plus_ms(3_100)));
+    target.cell.set_rate_limit(named.plus_ms(3_200), None);
+    assert!(target.take_send(named.plus_ms(3_200)));
+}
--- a/crates/test-harness/src/deployment.rs
+++ b/crates/test-harness/src/deployment.rs
@@ -201,6 +201,11 @@
         }
     }
 
+    /// Returns the targets, in the order in which they were added.
+    pub fn targets(&self) -> impl Iterator<Item = &Target> {
+        self.targets.iter().map(|proxied| proxied.target.as_ref())
+    }
+
     /// Sets the mode of the proxies between hosts and targets.
     pub fn set_proxies(&self, mode: FaultProxyMode) {
         for proxied in &self.targets {
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -12,6 +12,7 @@
 mod fault_proxy;
 mod hosts;
 mod invariant_checker;
+mod rate_limit_check;
 mod soak;
 mod store;
 mod target;
--- a/crates/test-harness/src/target.rs
+++ b/crates/test-harness/src/target.rs
@@ -1,6 +1,7 @@
 //! Serves the target protocol of the platform, with faults on request, and reports each run.
 
 use crate::invariant_checker::InvariantChecker;
+use crate::rate_limit_check::RateLimitCheck;
 use crate::store::Store;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
@@ -14,7 +15,7 @@
 use std::net::SocketAddr;
 use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
-use std::sync::{Arc, Mutex, OnceLock, PoisonError};
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -75,6 +76,7 @@
     running: AtomicU32,
     request_count: AtomicU64,
     draining_since: Mutex<Option<Instant>>,
+    rate_limit: Mutex<Option<RateLimitCheck>>,
     stop: watch::Sender<bool>,
 }
 
@@ -99,6 +101,7 @@
             running: AtomicU32::new(0),
             request_count: AtomicU64::new(0),
             draining_since: Mutex::new(None),
+            rate_limit: Mutex::new(None),
             stop: watch::channel(false).0,
         });
         tokio::spawn(Arc::clone(&target).accept(listener));
@@ -128,6 +131,24 @@
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner) = mode;
     }
 
+    /// Sets the limit of requests per second that the target names from now on, `None` for no limit.
+    /// It runs requests beyond the limit too, but records them as violations.
+    pub fn set_rate_limit(&self, per_s: Option<f64>) {
+        *self.rate_limit() = per_s.map(|per_s| RateLimitCheck::new(per_s, Instant::now()));
+    }
+
+    fn rate_limit(&self) -> MutexGuard<'_, Option<RateLimitCheck>> {
+        self.rate_limit
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Returns how many requests the target has run.
+    #[must_use]
+    pub fn request_count(&self) -> u64 {
+        self.request_count.load(Ordering::Relaxed)
+    }
+
     fn mode(&self) -> TargetMode {
         *self.mode.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -209,6 +230,7 @@
         if !expected.is_empty() && expected != self.spec.id {
             return Ok(self.reject(StatusCode::MISDIRECTED_REQUEST, &id));
         }
+        self.check_rate_limit(&id);
         let mode = self.mode();
         if mode == TargetMode::Shed || self.running.load(Ordering::Acquire) >= SLOTS * 3 {
             return Ok(self.reject(StatusCode::SERVICE_UNAVAILABLE, &id));
@@ -248,13 +270,15 @@
             TargetMode::CutAnswers if is_third => (StatusCode::OK, TargetBody::truncated(&content)),
             _ => (StatusCode::OK, content.into()),
         };
-        Response::builder()
+        let mut response = Response::builder()
             .status(status)
             .header("x-request-id", id)
             .header("x-server-signature", format!("s-{}", self.spec.id))
             .header("x-server-load", self.load())
             .body(body)
-            .map_err(io::Error::other)
+            .map_err(io::Error::other)?;
+        self.name_rate_limit(&mut response);
+        Ok(response)
     }
 
     /// Records a violation if the target has been draining for longer than hosts may send to it.
@@ -271,6 +295,27 @@
         }
     }
 
+    /// Records a violation if the target has got more requests than its rate limit allows.
+    fn check_rate_limit(&self, id: &str) {
+        let excess = match self.rate_limit().as_mut() {
+            Some(limit) => limit.record_arrival(Instant::now()),
+            None => None,
+        };
+        if let Some(excess) = excess.filter(|_| self.checker.are_timing_checks_active()) {
+            self.checker.record_violation(
+                "a rate-limited target gets few requests",
+                format!("{id} at {}: {excess}", self.spec.id),
+            );
+        }
+    }
+
+    fn name_rate_limit(&self, response: &mut Response<TargetBody>) {
+        let per_s = self.rate_limit().as_ref().map(RateLimitCheck::per_s);
+        if let Some(per_s) = per_s {
+            self.set_header(response, "server-limit", &per_s.to_string());
+        }
+    }
+
     fn load(&self) -> String {
         let running = self.running.load(Ordering::Acquire);
         let waiting = running.saturating_sub(SLOTS);
@@ -285,6 +330,7 @@
         }
         self.set_header(&mut response, "x-instance-id", &self.spec.id);
         self.set_header(&mut response, "x-server-load", &self.load());
+        self.name_rate_limit(&mut response);
         response
     }
 
