Count requests without a response in the judgement of a version

Seen by callers: a version that never answered a third of its requests was reported as completed. Cause: only attempts with an outcome were counted. One that was overtaken by its hedged request, or that ran into the route's timeout, was dropped without a sample, and these are the slowest ones. The class is a measurement that leaves out its worst cases. Change: MoveObservation is created with the send and counts the attempt as unanswered when it is dropped. That is a slow response if it took twice the usual time of the current version, since most hedged requests are answered between two and three times that.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -4,6 +4,7 @@
 use crate::call::{Call, check_head, deadline_ms, digest, find_route, read_body};
 use crate::events::{EventSender, GatewayEvent};
 use crate::in_flight::InFlight;
+use crate::move_observation::MoveObservation;
 use crate::placement::{Placer, SelectionMode};
 use crate::progress::{Decision, Progress, end_at_deadline};
 use crate::refusal::refusal;
@@ -15,8 +16,7 @@
 use futures_util::stream::FuturesUnordered;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
-    AttemptOutcome, LineKind, MoveSample, RetryBudget, RouteStat, SteeringBoard, Target,
-    TargetLoad, USUAL_SLOWNESS_PERCENT,
+    AttemptOutcome, LineKind, RetryBudget, RouteStat, SteeringBoard, Target, USUAL_SLOWNESS_PERCENT,
 };
 use heatherhinge_types::{Code, MonoNs};
 use http::{HeaderValue, Request, Response};
@@ -305,6 +305,8 @@
                 InFlight::begin(Arc::clone(&target), tracker.clone(), side, sent.is_empty());
             sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
+            let route = call.route.name.clone();
+            let observation = MoveObservation::begin(tracker, route, side, load, self.clock);
             let outgoing = OutgoingRequest {
                 board: &self.board,
                 call,
@@ -317,9 +319,7 @@
                 .exchange(connection, connection_pool, in_flight)
                 .await;
             let took_us = self.clock.mono_ns().ns_since(started) / 1_000;
-            if let Some((tracker, sample)) = tracker.zip(move_sample(end, took_us, load)) {
-                tracker.count(&call.route.name, side, sample);
-            }
+            observation.finish(end);
             AttemptResult {
                 end,
                 response,
@@ -390,22 +390,6 @@
     }
 }
 
-/// Returns how an attempt counts in the evaluation of a move; `None` if the target didn't run it.
-fn move_sample(end: AttemptOutcome, took_us: u64, load: TargetLoad) -> Option<MoveSample> {
-    match end {
-        AttemptOutcome::Answered => {
-            let usual_us = at_usual_speed(took_us, load.slowness_percent);
-            Some(MoveSample::Good(usual_us))
-        }
-        AttemptOutcome::Failed | AttemptOutcome::Broke => Some(MoveSample::Bad),
-        AttemptOutcome::NoTarget | AttemptOutcome::NeverSent | AttemptOutcome::NotRun => None,
-    }
-}
-
-fn at_usual_speed(took_us: u64, slowness_percent: u32) -> u64 {
-    took_us * u64::from(USUAL_SLOWNESS_PERCENT) / u64::from(slowness_percent.max(1))
-}
-
 fn hedge_at(stat: Option<&RouteStat>) -> Instant {
     let usual_us = stat
         .and_then(RouteStat::usual_us)
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -23,6 +23,7 @@
 mod io;
 mod metrics;
 mod move_executor;
+mod move_observation;
 mod orders_catch_up;
 mod packed_update;
 mod placement;
--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -115,12 +115,19 @@
     Good(u64),
     /// A failure.
     Bad,
+    /// No response in a time in microseconds, adjusted likewise. It tells nothing if the time was
+    /// short.
+    Unanswered(u64),
 }
 
 /// Responses before the usual time of a side counts as known.
 const USUAL_MIN_ANSWERS: u32 = 8;
 /// A response counts as slow above this multiple of the current version's usual time.
 const SLOW_FACTOR: u64 = 3;
+/// A request without a response counts as slow above this multiple of the current version's usual
+/// time. Most are given up when the response to a hedged request arrives, before they would count as
+/// slow responses.
+const UNANSWERED_FACTOR: u64 = 2;
 
 impl MoveTracker {
     /// Starts a move with separate counts for these routes.
@@ -199,23 +206,26 @@
         }
     }
 
-    /// Counts a response of a side.
+    /// Counts the outcome of a request at a side.
     pub fn count(&self, route: &Name, side: Side, sample: MoveSample) {
         let route = self.routes.get(route).unwrap_or(&self.other_routes);
         let counts = route.side(side);
-        counts.answers.fetch_add(1, Ordering::Relaxed);
         match sample {
             MoveSample::Bad => {
                 counts.bad.fetch_add(1, Ordering::Relaxed);
             }
-            MoveSample::Good(took_us) => {
-                if is_slow(&route.current, took_us) {
-                    counts.slow.fetch_add(1, Ordering::Relaxed);
-                } else {
-                    smooth(&counts.usual_us, took_us);
-                }
+            MoveSample::Good(took_us) if is_slow(&route.current, took_us, SLOW_FACTOR) => {
+                counts.slow.fetch_add(1, Ordering::Relaxed);
+            }
+            MoveSample::Good(took_us) => smooth(&counts.usual_us, took_us),
+            MoveSample::Unanswered(waited_us)
+                if is_slow(&route.current, waited_us, UNANSWERED_FACTOR) =>
+            {
+                counts.slow.fetch_add(1, Ordering::Relaxed);
             }
+            MoveSample::Unanswered(_) => return,
         }
+        counts.answers.fetch_add(1, Ordering::Relaxed);
     }
 
     /// Returns how this host has split its requests so far.
@@ -259,10 +269,10 @@
     }
 }
 
-fn is_slow(current: &SideCounts, took_us: u64) -> bool {
+fn is_slow(current: &SideCounts, took_us: u64, factor: u64) -> bool {
     let is_known = current.answers.load(Ordering::Relaxed) >= USUAL_MIN_ANSWERS;
     let usual_us = current.usual_us.load(Ordering::Relaxed);
-    is_known && usual_us > 0 && took_us > usual_us * SLOW_FACTOR
+    is_known && usual_us > 0 && took_us > usual_us * factor
 }
 
 fn smooth(cell: &AtomicU64, sample: u64) {
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -245,6 +245,21 @@
     assert!(stage(&control) >= MoveStage::Shift && stage(&control) != MoveStage::RolledBack);
 }
 
+// Guards against requests that were given up and do not count, although they took long, and against
+// callers that leave early and make a version look slow.
+#[test]
+fn requests_without_a_response_count_as_slow_after_a_while() {
+    let tracker = MoveTracker::new(order(), ORDER_VERSION, &[Name::new("r")]);
+    let count = |side, sample| tracker.count(&Name::new("r"), side, sample);
+    for _ in 0..20 {
+        count(Side::Current, MoveSample::Good(80_000));
+    }
+    count(Side::Moving, MoveSample::Unanswered(100_000));
+    count(Side::Moving, MoveSample::Unanswered(170_000));
+    let routes = tracker.state(0).routes;
+    assert_eq!(routes[0].moving, tally(1, 0, 1));
+}
+
 // Guards against a version that is judged good without any responses.
 #[test]
 fn a_move_without_answers_is_not_completed() {
