Count responses after the route's objective as slow in a move

Cause: a response counted as slow only above three times the usual time of the current version, which is measured during the same disruption. Change: a response that took longer than the route's objective, at a target of usual speed, counts as slow on both sides. The comparison of the two sides stays fair, and the version is not proven by such responses. Evidence: responses_after_the_objective_count_as_slow guards the rule; the landed code counted such a response as good.

--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -305,7 +305,7 @@
                 InFlight::begin(Arc::clone(&target), tracker.clone(), side, sent.is_empty());
             sent.push(target.id().clone(), load);
             let started = self.clock.mono_ns();
-            let route = call.route.name.clone();
+            let route = Arc::clone(&call.route);
             let observation = MoveObservation::begin(tracker, route, side, load, self.clock);
             let outgoing = OutgoingRequest {
                 board: &self.board,
--- a/crates/gateway/src/move_observation.rs
+++ b/crates/gateway/src/move_observation.rs
@@ -1,10 +1,11 @@
 //! Counts the outcome of a request that was sent during a version move.
 
+use heatherhinge_orders::Route;
 use heatherhinge_proxy::Clock;
 use heatherhinge_steering::{
     AttemptOutcome, MoveSample, MoveTracker, Side, TargetLoad, USUAL_SLOWNESS_PERCENT,
 };
-use heatherhinge_types::{MonoNs, Name};
+use heatherhinge_types::MonoNs;
 use std::sync::Arc;
 
 /// A request that was sent and has no outcome yet. On drop it counts as unanswered, because the
@@ -13,7 +14,7 @@
 pub(crate) struct MoveObservation {
     /// `None` once the outcome is counted.
     tracker: Option<Arc<MoveTracker>>,
-    route: Name,
+    route: Arc<Route>,
     side: Side,
     load: TargetLoad,
     started: MonoNs,
@@ -24,7 +25,7 @@
     /// Begins with a request that is about to be sent; `tracker` is `None` without a move.
     pub(crate) fn begin(
         tracker: Option<Arc<MoveTracker>>,
-        route: Name,
+        route: Arc<Route>,
         side: Side,
         load: TargetLoad,
         clock: Clock,
@@ -47,10 +48,15 @@
             AttemptOutcome::NoTarget | AttemptOutcome::NeverSent | AttemptOutcome::NotRun => None,
         };
         if let Some((tracker, sample)) = self.tracker.take().zip(sample) {
-            tracker.count(&self.route, self.side, sample);
+            self.count(&tracker, sample);
         }
     }
 
+    fn count(&self, tracker: &MoveTracker, sample: MoveSample) {
+        let objective_us = self.route.objective_ms.map(|ms| ms * 1_000);
+        tracker.count(&self.route.name, self.side, sample, objective_us);
+    }
+
     /// Returns the time since the request was sent, adjusted to a target of usual speed.
     fn took_us(&self) -> u64 {
         let took_us = self.clock.mono_ns().ns_since(self.started) / 1_000;
@@ -61,8 +67,7 @@
 impl Drop for MoveObservation {
     fn drop(&mut self) {
         if let Some(tracker) = self.tracker.take() {
-            let sample = MoveSample::Unanswered(self.took_us());
-            tracker.count(&self.route, self.side, sample);
+            self.count(&tracker, MoveSample::Unanswered(self.took_us()));
         }
     }
 }
--- a/crates/steering/src/move_state.rs
+++ b/crates/steering/src/move_state.rs
@@ -55,7 +55,8 @@
     pub answers: u32,
     /// Failed responses.
     pub bad: u32,
-    /// Successful responses that took much longer than is usual for the current version.
+    /// Responses that took much longer than is usual for the current version, or than the route's
+    /// objective, and requests that were given up after such a time.
     pub slow: u32,
 }
 
--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -206,21 +206,24 @@
         }
     }
 
-    /// Counts the outcome of a request at a side.
-    pub fn count(&self, route: &Name, side: Side, sample: MoveSample) {
+    /// Counts the outcome of a request at a side. A response after the route's objective counts as
+    /// slow even if the current version is as slow.
+    pub fn count(&self, route: &Name, side: Side, sample: MoveSample, objective_us: Option<u64>) {
         let route = self.routes.get(route).unwrap_or(&self.other_routes);
         let counts = route.side(side);
+        let is_slow = |took_us, factor| {
+            exceeds_usual(&route.current, took_us, factor)
+                || objective_us.is_some_and(|objective_us| took_us > objective_us)
+        };
         match sample {
             MoveSample::Bad => {
                 counts.bad.fetch_add(1, Ordering::Relaxed);
             }
-            MoveSample::Good(took_us) if is_slow(&route.current, took_us, SLOW_FACTOR) => {
+            MoveSample::Good(took_us) if is_slow(took_us, SLOW_FACTOR) => {
                 counts.slow.fetch_add(1, Ordering::Relaxed);
             }
             MoveSample::Good(took_us) => smooth(&counts.usual_us, took_us),
-            MoveSample::Unanswered(waited_us)
-                if is_slow(&route.current, waited_us, UNANSWERED_FACTOR) =>
-            {
+            MoveSample::Unanswered(waited_us) if is_slow(waited_us, UNANSWERED_FACTOR) => {
                 counts.slow.fetch_add(1, Ordering::Relaxed);
             }
             MoveSample::Unanswered(_) => return,
@@ -269,7 +272,7 @@
     }
 }
 
-fn is_slow(current: &SideCounts, took_us: u64, factor: u64) -> bool {
+fn exceeds_usual(current: &SideCounts, took_us: u64, factor: u64) -> bool {
     let is_known = current.answers.load(Ordering::Relaxed) >= USUAL_MIN_ANSWERS;
     let usual_us = current.usual_us.load(Ordering::Relaxed);
     is_known && usual_us > 0 && took_us > usual_us * factor
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -190,8 +190,18 @@
     let mut control = control(start);
     let tracker = std::sync::Arc::clone(&control.trackers()["orders"]);
     for _ in 0..60 {
-        tracker.count(&Name::new("r"), Side::Current, MoveSample::Good(80_000));
-        tracker.count(&Name::new("r"), Side::Moving, MoveSample::Good(82_000));
+        tracker.count(
+            &Name::new("r"),
+            Side::Current,
+            MoveSample::Good(80_000),
+            None,
+        );
+        tracker.count(
+            &Name::new("r"),
+            Side::Moving,
+            MoveSample::Good(82_000),
+            None,
+        );
     }
     let written = run_alone(&mut control, start, 14_000);
     assert_eq!(written, [ReportedState::Running, ReportedState::Completed]);
@@ -208,9 +218,9 @@
             MoveSample::Good(80_000)
         };
         for _ in 0..10 {
-            tracker.count(&Name::new("r"), Side::Current, sample);
+            tracker.count(&Name::new("r"), Side::Current, sample, None);
         }
-        tracker.count(&Name::new("r"), Side::Moving, sample);
+        tracker.count(&Name::new("r"), Side::Moving, sample, None);
     }
 }
 
@@ -250,7 +260,7 @@
 #[test]
 fn requests_without_a_response_count_as_slow_after_a_while() {
     let tracker = MoveTracker::new(order(), ORDER_VERSION, &[Name::new("r")]);
-    let count = |side, sample| tracker.count(&Name::new("r"), side, sample);
+    let count = |side, sample| tracker.count(&Name::new("r"), side, sample, None);
     for _ in 0..20 {
         count(Side::Current, MoveSample::Good(80_000));
     }
@@ -260,6 +270,34 @@
     assert_eq!(routes[0].moving, tally(1, 0, 1));
 }
 
+// Guards against a slow version that is judged good because a disruption makes the current one slow
+// too.
+#[parameterized(
+    in_time = { 100_000, Some(200_000), tally(1, 0, 0) },
+    late = { 600_000, Some(200_000), tally(1, 0, 1) },
+    no_objective = { 600_000, None, tally(1, 0, 0) },
+)]
+fn responses_after_the_objective_count_as_slow(
+    took_us: u64,
+    objective_us: Option<u64>,
+    expected: Tally,
+) {
+    let tracker = MoveTracker::new(order(), ORDER_VERSION, &[Name::new("r")]);
+    let count = |side, took_us, objective_us| {
+        tracker.count(
+            &Name::new("r"),
+            side,
+            MoveSample::Good(took_us),
+            objective_us,
+        );
+    };
+    for _ in 0..20 {
+        count(Side::Current, 480_000, None);
+    }
+    count(Side::Moving, took_us, objective_us);
+    assert_eq!(tracker.state(0).routes[0].moving, expected);
+}
+
 // Guards against a version that is judged good without any responses.
 #[test]
 fn a_move_without_answers_is_not_completed() {
