End a forwarded response at the caller's deadline

Seen by callers: a response whose body never ends was forwarded for as long as the caller read it. Reported by other operators: faulty targets send bytes without end, in a head or a body. Cause: only the head and small bodies were bound by the request's time. A body of unknown length was passed on without a deadline. Change: StreamedResponse ends with an error at the caller's deadline, which resets the caller's connection and closes that of the target. Evidence: a_body_without_end_is_cut_off_at_the_deadline fails on the code before.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -18,7 +18,8 @@
 use http_body_util::{BodyExt, Full};
 use hyper::body::Incoming;
 use std::sync::Arc;
-use tokio::time::Instant;
+use std::time::Duration;
+use tokio::time::{Instant, sleep_until};
 
 /// Responses up to this size are read completely before they are forwarded, so that a truncated one
 /// can be replaced by the response to another attempt.
@@ -129,7 +130,9 @@
         } else {
             AttemptOutcome::Answered
         };
-        match receive_body(body, connection, connection_pool, in_flight).await {
+        let left_ns = self.call.deadline.ns_since(self.clock.mono_ns());
+        let deadline = Instant::now() + Duration::from_nanos(left_ns);
+        match receive_body(body, connection, connection_pool, in_flight, deadline).await {
             Some(body) => {
                 let mut response = Response::from_parts(head, body);
                 strip_hop_by_hop(response.headers_mut());
@@ -141,12 +144,13 @@
 }
 
 /// Reads a small response completely. A large one, or one of unknown length, is forwarded as it
-/// arrives.
+/// arrives, until the caller's deadline.
 async fn receive_body(
     incoming: Incoming,
     mut connection: Connection,
     connection_pool: Arc<ConnectionPool>,
     in_flight: InFlight,
+    deadline: Instant,
 ) -> Option<ResponseBody> {
     let is_small = incoming
         .size_hint()
@@ -158,6 +162,7 @@
             connection: Some(connection),
             connection_pool,
             _in_flight: in_flight,
+            deadline: Box::pin(sleep_until(deadline)),
         })));
     }
     let bytes = incoming.collect().await.ok()?.to_bytes();
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -6,10 +6,12 @@
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
+use std::future::Future;
+use std::io;
 use std::pin::Pin;
 use std::sync::Arc;
 use std::task::{Context, Poll};
-use tokio::time::Instant;
+use tokio::time::{Instant, Sleep};
 
 /// Body of any response of an entry host.
 #[derive(Debug)]
@@ -38,9 +40,27 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) connection_pool: Arc<ConnectionPool>,
     pub(crate) _in_flight: InFlight,
+    /// Ends at the caller's deadline. A faulty target may send a body without end.
+    pub(crate) deadline: Pin<Box<Sleep>>,
 }
 
 impl StreamedResponse {
+    fn poll_frame(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            let elapsed =
+                io::Error::new(io::ErrorKind::TimedOut, "the caller's deadline has passed");
+            return Poll::Ready(Some(Err(axum::Error::new(elapsed))));
+        }
+        let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        if matches!(polled, Poll::Ready(None)) || self.incoming.is_end_stream() {
+            self.finish();
+        }
+        polled.map(|frame| frame.map(|frame| frame.map_err(axum::Error::new)))
+    }
+
     /// Returns the connection to its pool once the whole response has arrived.
     fn finish(&mut self) {
         if let Some(mut connection) = self.connection.take() {
@@ -60,13 +80,7 @@
     ) -> Poll<Option<Result<Frame<Bytes>, Self::Error>>> {
         match self.get_mut() {
             Self::Full(bytes) => Poll::Ready(bytes.take().map(|bytes| Ok(Frame::data(bytes)))),
-            Self::Stream(response) => {
-                let polled = Pin::new(&mut response.incoming).poll_frame(cx);
-                if matches!(polled, Poll::Ready(None)) || response.incoming.is_end_stream() {
-                    response.finish();
-                }
-                polled.map(|frame| frame.map(|frame| frame.map_err(axum::Error::new)))
-            }
+            Self::Stream(response) => response.poll_frame(cx),
             Self::Own(body) => Pin::new(body).poll_frame(cx),
         }
     }
