--- a/crates/steering/src/target_load.rs
+++ b/crates/steering/src/target_load.rs
@@ -5,6 +5,10 @@
 /// Slowness of a target at its usual speed, in percent.
 pub const USUAL_SLOWNESS_PERCENT: u32 = 100;
 
+/// Larger figures of a report count as this one, because sums of them could overflow and make an
+/// overloaded target look idle.
+const MAX_FIGURE: u32 = 1_000_000;
+
 /// Load of a target at the time of the response that carried it.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct TargetLoad {
@@ -25,7 +29,8 @@
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         let mut parts = text
             .split(',')
-            .map(|part| part.trim().parse::<u32>().map_err(|_| TargetLoadError));
+            .map(|part| part.trim().parse::<u32>().map_err(|_| TargetLoadError))
+            .map(|figure| figure.map(|figure| figure.min(MAX_FIGURE)));
         let mut next = || parts.next().ok_or(TargetLoadError)?;
         let (running, waiting, slots) = (next()?, next()?, next()?);
         let slowness_percent = match next() {
--- a/crates/steering/tests/choosing.rs
+++ b/crates/steering/tests/choosing.rs
@@ -51,6 +51,8 @@
     word = { "a,b,c", None },
     negative = { "-1,0,8", None },
     no_slots = { "0,0,0", None },
+    too_large = { "4294967295,0,8", Some((1_000_000, 0, 8, 100)) },
+    too_slow = { "3,0,8,4294967295", Some((3, 0, 8, 1_000_000)) },
 )]
 fn parses_load_reports(text: &str, expected: Option<(u32, u32, u32, u32)>) {
     let read = text.parse::<TargetLoad>().ok();
