--- a/crates/test-harness/src/soak.rs
+++ b/crates/test-harness/src/soak.rs
@@ -34,6 +34,10 @@
 const ALL_FAULT_KINDS: u32 = 16;
 /// First seed that draws from all kinds.
 const ALL_FAULT_KINDS_FROM_SEED: u64 = 1_000;
+/// First seed in which some faults of targets are rate limits instead.
+const RATE_LIMITS_FROM_SEED: u64 = 10_000;
+/// Rate limits that targets name, in requests per second.
+const RATE_LIMITS_PER_S: [f64; 4] = [0.5, 1.0, 3.0, 10.0];
 
 /// Results of a soak.
 #[derive(Debug)]
@@ -55,6 +59,7 @@
 #[derive(Clone, Copy, Debug)]
 enum UndoKind {
     Target(usize),
+    RateLimit(usize),
     TargetProxy(usize),
     Store,
     StoreProxy,
@@ -82,6 +87,7 @@
         } else {
             ALL_FAULT_KINDS
         },
+        has_rate_limits: seed >= RATE_LIMITS_FROM_SEED,
         rng: Pcg64Mcg::seed_from_u64(seed),
         pending: Vec::new(),
         faults: Vec::new(),
@@ -126,6 +132,8 @@
     deployment: Deployment,
     /// Number of kinds of faults that are drawn from.
     fault_kinds: u32,
+    /// Whether targets also name rate limits.
+    has_rate_limits: bool,
     rng: Pcg64Mcg,
     /// Ends of the faults in effect.
     pending: Vec<Undo>,
@@ -177,7 +185,23 @@
         self.rng.random_range(0..self.deployment.hosts.hosts.len())
     }
 
+    /// Lets a target name a rate limit for a time. Limits begin, end and change while others last.
+    fn limit_target(&mut self) {
+        let index = self.pick_target();
+        let per_s = RATE_LIMITS_PER_S[self.rng.random_range(0..RATE_LIMITS_PER_S.len())];
+        self.record(format!("target {index}: names a limit of {per_s} a second"));
+        self.deployment.targets[index]
+            .target
+            .set_rate_limit(Some(per_s));
+        let duration = Duration::from_millis(self.rng.random_range(2_000..9_000));
+        let at = tokio::time::Instant::now() + duration;
+        self.pending.push((at, UndoKind::RateLimit(index)));
+    }
+
     fn inject_target_fault(&mut self) {
+        if self.has_rate_limits && self.rng.random_range(0..2) == 0 {
+            return self.limit_target();
+        }
         let index = self.pick_target();
         let mode = [
             TargetMode::LoseAnswers,
@@ -355,6 +379,7 @@
             // Replacing a target moves another to its index, so all targets are reset here.
             for proxied in &self.deployment.targets {
                 proxied.target.set_mode(TargetMode::Serve);
+                proxied.target.set_rate_limit(None);
                 proxied.proxy.set_mode(FaultProxyMode::Pass);
             }
             (0..self.deployment.hosts.hosts.len())
@@ -370,6 +395,11 @@
                     proxied.target.set_mode(TargetMode::Serve);
                 }
             }
+            UndoKind::RateLimit(index) => {
+                if let Some(proxied) = self.deployment.targets.get(index) {
+                    proxied.target.set_rate_limit(None);
+                }
+            }
             UndoKind::TargetProxy(index) => {
                 if let Some(proxied) = self.deployment.targets.get(index) {
                     proxied.proxy.set_mode(FaultProxyMode::Pass);
