--- a/crates/steering/src/move_tracker.rs
+++ b/crates/steering/src/move_tracker.rs
@@ -12,7 +12,8 @@
 /// thousandths. The requirements allow a tenth; the rest covers hosts that restart and count from
 /// 0.
 pub(crate) const EXPOSURE_MILLI: u64 = 80;
-/// Share of the requests in the ramp stage, in thousandths, until [`EXPOSURE_MILLI`] is reached.
+/// Share of the searches in the ramp stage that may go to the new version, in thousandths, until
+/// [`EXPOSURE_MILLI`] is reached.
 const RAMP_MILLI: u64 = 350;
 
 /// Counts of one side on one route.
@@ -177,6 +178,7 @@
     /// are no measure, because those that find no target count too.
     fn explore(&self, rate_milli: u64, share_milli: u64) -> Side {
         let search = self.searches.total.fetch_add(1, Ordering::Relaxed);
+        // The first ones of each 20 searches.
         let is_offered = search % 20 * 50 < rate_milli;
         if is_offered && self.sends.has_room(share_milli) && self.searches.take(share_milli) {
             Side::Moving
