--- a/review/3/case.py
+++ b/review/3/case.py
@@ -8,9 +8,10 @@
 import standin as s
 
 HOSTS, WORKERS, WORK_MS, SLOW = 4, 8, 60, 8
-CLIENTS, DURATION_S = 48, 12
+CLIENTS, DURATION_S = 48, 10
 BAD_SHARE = 0.5       # of v2's requests are slow, 8 times as long (rollout_bad: slow, x (8), share (.5))
 DRAIN_AFTER_S = 5     # "some seconds later"
+NEXT_ORDER_S = 0.5    # from `rolled_back` to the next order
 SHARE, SLACK = 0.1, 50
 
 
@@ -66,11 +67,12 @@
     back = s.now()
     record.say("the status is rolled_back")
     before = sum(1 for at, w, _, _ in world.arrivals if w.version == "v2" and at >= ordered)
+    await asyncio.sleep(NEXT_ORDER_S)
     if s.TROUBLE:
         await add("v3")
         world.store.put("op", "rollout/desk", {"service": "desk", "to": "v3", "duration": f"{DURATION_S}s"})
         record.say("the operator orders the move to v3")
-    await asyncio.sleep(DRAIN_AFTER_S)
+    await asyncio.sleep(DRAIN_AFTER_S - NEXT_ORDER_S)
     for worker in old:
         worker.state = "draining"
         worker.beat()
