--- a/review/5/case.py
+++ b/review/5/case.py
@@ -36,13 +36,20 @@
             touch = host.running() and host.in_touch(at)
             try:
                 status, _, body = await asyncio.wait_for(s.get(host.address("directory"), f"/v1/resolve?name=a.example&region=region-1&zone={victim.zone}", []), 1)
-                if status == 200 and killed[0] and victim.listen["front"] in json.loads(body)["addresses"]:
+                if status != 200:
+                    record.line(f"directory of host {host.number} answers {status}")
+                    continue
+                addresses = json.loads(body)["addresses"]
+                record.line(f"directory of host {host.number} answers {' '.join(addresses)}")
+                beside = any(h.running() and h.listen["front"] in addresses for h in world.hosts)
+                if killed[0] and beside and victim.listen["front"] in addresses:
                     age = at - killed[0]
                     record.line(f"host {host.number} names the dead host {age:.2f} s after its end, in touch {touch}, up for {at - host.started:.2f} s")
                     named.append((age, host.number, touch))
             except (OSError, EOFError, asyncio.TimeoutError):
                 pass
-            await asyncio.sleep(0.1)
+            finally:
+                await asyncio.sleep(0.1)
 
     asks = [asyncio.create_task(ask(h)) for h in world.hosts if h is not victim]
 
