--- a/review/lib/standin.py
+++ b/review/lib/standin.py
@@ -544,8 +544,9 @@
 
     count = 0
 
-    def __init__(self, world, zone, keep=True):
+    def __init__(self, world, zone, keep=True, source=None):
         self.world, self.zone, self.keep = world, zone, keep
+        self.source = (source, 0) if source else None  # a loopback address of its own
         self.reader = self.writer = self.host = None
         self.addresses, self.fresh_until = [], 0.0
 
@@ -587,7 +588,8 @@
         self.host = host
         try:
             self.reader, self.writer = await asyncio.wait_for(
-                asyncio.open_connection(*host.address("front"), limit=1 << 20), 1.0)
+                asyncio.open_connection(*host.address("front"), limit=1 << 20,
+                                        local_addr=self.source), 1.0)
         except (OSError, asyncio.TimeoutError):
             address = host.listen["front"]
             self.addresses = [other for other in self.addresses if other != address]
@@ -597,12 +599,14 @@
         """One client attempt; the connection stays open afterwards where it may."""
         Client.count += 1
         request_id = f"r{os.getpid():x}-{Client.count:06x}"
-        sent = now()
+        sent, before = now(), self.writer
         try:
             await self.connect(host)
         except (OSError, asyncio.TimeoutError) as error:
-            return Answer(request_id, None, sent, None, None, b"", f"no connection: {error}")
-        sent, at = now(), self.host
+            answer = Answer(request_id, None, sent, None, None, b"", f"no connection: {error}")
+            answer.method, answer.kept = method, False
+            return answer
+        sent, at, kept = now(), self.host, before is not None and before is self.writer
         headers = [("Host", "a.example"), ("X-Request-Id", request_id),
                    ("X-Deadline-Ms", str(deadline_ms)), *extra]
         self.world.record.line(f"client sends {request_id} {method} {path} ({len(body)} bytes) "
@@ -619,7 +623,7 @@
         if why or not self.keep or (got or {}).get("connection", "").lower() == "close":
             self.drop()
         answer = Answer(request_id, at, sent, status, got, content, why)
-        answer.method = method
+        answer.method, answer.kept = method, kept
         self.world.record.line(f"client gets {request_id} {status or why}"
                                f"{' signed' if answer.signed else ''} from host {at.number}")
         return answer
