Review case 9: a streamed answer outlasts the route's timeout

Cause: a large response is streamed until the caller's deadline, not until the route's timeout. Change: a script on the stand-ins of case 6, and its claim.

--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -302,6 +302,8 @@
     known: Vec<SocketAddr>,
     known_until: Instant,
     pub answers: BTreeMap<String, u64>,
+    /// Time from sending an attempt to its end, in milliseconds, and its outcome.
+    pub attempts: Vec<(u64, String)>,
 }
 
 /// A request of a client, without its id.
@@ -323,6 +325,7 @@
             known: Vec::new(),
             known_until: Instant::now(),
             answers: BTreeMap::new(),
+            attempts: Vec::new(),
         }
     }
 
@@ -353,6 +356,7 @@
                 break;
             };
             self.record.line(&format!("client {} sends {id} {} {} to {addr}", self.name, ask.method, ask.path));
+            let sent = Instant::now();
             let (answer, was_read) = attempt(addr, ask, &id, left);
             outcome = match &answer {
                 Ok(answer) => answer.status().to_string(),
@@ -360,6 +364,7 @@
             };
             self.record.line(&format!("client {} gets {id} {outcome}", self.name));
             *self.answers.entry(outcome.clone()).or_default() += 1;
+            self.attempts.push((sent.elapsed().as_millis() as u64, outcome.clone()));
             let promised = matches!(&answer, Ok(answer) if matches!(answer.status(), 408 | 421 | 429 | 503));
             let is_over = matches!(&answer, Ok(answer) if matches!(answer.status(), 200..=299 | 400 | 401 | 404 | 413 | 431));
             let may_repeat = !is_over && (ask.is_safe || promised || !was_read);
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -8,6 +8,7 @@
 mod net;
 mod poison;
 mod store;
+mod timeout;
 mod worker;
 
 use std::process::ExitCode;
@@ -19,6 +20,7 @@
         Some("worker") => worker::main(&args[1..]).map(|()| true),
         Some("6") => poison::play("6", &poison::SAME_PATH, has_trouble),
         Some("7") => poison::play("7", &poison::SLOW_CRASH, has_trouble),
+        Some("9") => timeout::play("9", has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/lib-2/net.rs
+++ b/review/lib-2/net.rs
@@ -92,6 +92,22 @@
     stream.write_all(&bytes)
 }
 
+/// Writes a response with a length, and half of its body.
+pub fn respond_in_part(
+    stream: &mut TcpStream,
+    headers: &[(&str, &str)],
+    body: &[u8],
+) -> io::Result<()> {
+    let mut text = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n", body.len());
+    for (name, value) in headers {
+        text.push_str(&format!("{name}: {value}\r\n"));
+    }
+    text.push_str("\r\n");
+    let mut bytes = text.into_bytes();
+    bytes.extend_from_slice(&body[..body.len() / 2]);
+    stream.write_all(&bytes)
+}
+
 /// A JSON value; numbers are kept as text.
 #[derive(Clone, Debug)]
 pub enum Json {
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -2,9 +2,10 @@
 //! sheds beyond that. It prints a line for each request that it begins to run. A request with the
 //! header `X-Customer: 17` may crash it: the process then ends at once.
 
-use crate::net::{Message, read_message, respond};
-use std::io::{self, BufReader, Write};
+use crate::net::{Message, read_message, respond, respond_in_part};
+use std::io::{self, BufReader, Read, Write};
 use std::net::{TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::time::{Duration, Instant};
 
@@ -18,17 +19,23 @@
     After(Duration),
 }
 
+/// Bytes of the answer to a request for `/file/`.
+const FILE_BYTES: usize = 400_000;
+
 struct Worker {
     id: String,
     slots: u32,
     work: Duration,
     poison: Poison,
+    /// One in so many answers is truncated: half of it is sent, and the connection stays open.
+    truncate_each: u64,
+    answers: AtomicU64,
     /// Running and waiting requests.
     load: Mutex<(u32, u32)>,
     freed: Condvar,
 }
 
-/// `worker ADDRESS ID SLOTS WORK_MS never|MS`
+/// `worker ADDRESS ID SLOTS WORK_MS never|MS|truncate:N`
 pub fn main(args: &[String]) -> io::Result<()> {
     let number = |index: usize| args[index].parse::<u64>().unwrap_or(0);
     let worker = Arc::new(Worker {
@@ -36,9 +43,11 @@
         slots: number(2) as u32,
         work: Duration::from_millis(number(3)),
         poison: match args[4].as_str() {
-            "never" => Poison::Never,
+            other if other == "never" || other.starts_with("truncate:") => Poison::Never,
             _ => Poison::After(Duration::from_millis(number(4))),
         },
+        truncate_each: args[4].strip_prefix("truncate:").map_or(0, |text| text.parse().unwrap_or(0)),
+        answers: AtomicU64::new(0),
         load: Mutex::new((0, 0)),
         freed: Condvar::new(),
     });
@@ -118,7 +127,20 @@
             ("X-Server-Signature", &signature),
             ("X-Server-Load", &load),
         ];
-        respond(writer, "200 OK", &headers, format!("{id} is done").as_bytes())
+        if !request.word(1).starts_with("/file/") {
+            return respond(writer, "200 OK", &headers, format!("{id} is done").as_bytes());
+        }
+        let file = vec![b'x'; FILE_BYTES];
+        let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
+        if self.truncate_each == 0 || !number.is_multiple_of(self.truncate_each) {
+            return respond(writer, "200 OK", &headers, &file);
+        }
+        say(&format!("truncates {id}"));
+        respond_in_part(writer, &headers, &file)?;
+        // The connection stays open until the caller closes it.
+        let mut rest = [0; 64];
+        while writer.read(&mut rest)? > 0 {}
+        Ok(())
     }
 
     /// Waits for a free slot; false if the queue is full or the deadline passes.
