Review case 10: a worker's own 503 is passed on as a promise

Cause: a 503 of a worker that has run a request, without X-Not-Executed, is delivered unchanged, and 503 promises the client that the request has not run. Change: a script on the stand-ins of case 6, whose ports no longer collide, and its claim.

--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -75,9 +75,17 @@
     failed: Arc<AtomicBool>,
 }
 
-/// Returns a free port of a loopback address.
-fn free(ip: &str) -> io::Result<SocketAddr> {
-    TcpListener::bind((ip, 0))?.local_addr()
+/// Returns as many different free ports of a loopback address.
+fn free<const COUNT: usize>(ip: &str) -> io::Result<[SocketAddr; COUNT]> {
+    let mut held = Vec::new();
+    for _ in 0..COUNT {
+        held.push(TcpListener::bind((ip, 0))?);
+    }
+    let mut found = [held[0].local_addr()?; COUNT];
+    for (place, listener) in found.iter_mut().zip(&held) {
+        *place = listener.local_addr()?;
+    }
+    Ok(found)
 }
 
 impl Fleet {
@@ -102,8 +110,7 @@
         };
         let mut listen = Vec::new();
         for host in 1..=hosts {
-            let ip = format!("127.{net}.{host}.1");
-            listen.push([free(&ip)?, free(&ip)?, free(&ip)?, free(&ip)?]);
+            listen.push(free::<4>(&format!("127.{net}.{host}.1"))?);
         }
         let seeds: Vec<String> =
             listen.iter().take(3).map(|[_, _, _, control]| format!("\"{control}\"")).collect();
@@ -141,9 +148,13 @@
 
     /// Starts a worker that comes back under a new id after each crash, at the same address.
     pub fn add_worker(&mut self, plan: WorkerPlan) -> io::Result<()> {
-        let ip = self.store.addr.ip().to_string();
-        let addr = free(&ip)?;
         let number = self.keepers.len();
+        let SocketAddr::V4(store_addr) = self.store.addr else {
+            return Err(io::Error::other("the store has no IPv4 address"));
+        };
+        // An address of its own for each worker.
+        let [_, net, subnet, _] = store_addr.ip().octets();
+        let [addr] = free(&format!("127.{net}.{subnet}.{}", number + 2))?;
         let (store, record) = (Arc::clone(&self.store), Arc::clone(&self.record));
         let (said, stop) = (Arc::clone(&self.said), Arc::clone(&self.stop));
         let failed = Arc::clone(&self.failed);
@@ -216,7 +227,9 @@
         for keeper in self.keepers.drain(..) {
             keeper.join().ok();
         }
-        std::fs::remove_dir_all(&self.dir).ok();
+        if std::env::var("KEEP").is_err() {
+            std::fs::remove_dir_all(&self.dir).ok();
+        }
     }
 }
 
@@ -304,6 +317,8 @@
     pub answers: BTreeMap<String, u64>,
     /// Time from sending an attempt to its end, in milliseconds, and its outcome.
     pub attempts: Vec<(u64, String)>,
+    /// Statuses of the answers by the ids of the attempts.
+    pub statuses: BTreeMap<String, u16>,
 }
 
 /// A request of a client, without its id.
@@ -326,6 +341,7 @@
             known_until: Instant::now(),
             answers: BTreeMap::new(),
             attempts: Vec::new(),
+            statuses: BTreeMap::new(),
         }
     }
 
@@ -363,6 +379,9 @@
                 Err(error) => format!("no answer ({error})"),
             };
             self.record.line(&format!("client {} gets {id} {outcome}", self.name));
+            if let Ok(answer) = &answer {
+                self.statuses.insert(id.clone(), answer.status());
+            }
             *self.answers.entry(outcome.clone()).or_default() += 1;
             self.attempts.push((sent.elapsed().as_millis() as u64, outcome.clone()));
             let promised = matches!(&answer, Ok(answer) if matches!(answer.status(), 408 | 421 | 429 | 503));
--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -7,6 +7,7 @@
 mod fleet;
 mod net;
 mod poison;
+mod promise;
 mod store;
 mod timeout;
 mod worker;
@@ -21,6 +22,7 @@
         Some("6") => poison::play("6", &poison::SAME_PATH, has_trouble),
         Some("7") => poison::play("7", &poison::SLOW_CRASH, has_trouble),
         Some("9") => timeout::play("9", has_trouble),
+        Some("10") => promise::play("10", has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -29,13 +29,15 @@
     poison: Poison,
     /// One in so many answers is truncated: half of it is sent, and the connection stays open.
     truncate_each: u64,
+    /// Status that nine in twenty requests for `/book/` get after they have run.
+    fails_with: Option<&'static str>,
     answers: AtomicU64,
     /// Running and waiting requests.
     load: Mutex<(u32, u32)>,
     freed: Condvar,
 }
 
-/// `worker ADDRESS ID SLOTS WORK_MS never|MS|truncate:N`
+/// `worker ADDRESS ID SLOTS WORK_MS never|MS|truncate:N|fail:500|fail:503`
 pub fn main(args: &[String]) -> io::Result<()> {
     let number = |index: usize| args[index].parse::<u64>().unwrap_or(0);
     let worker = Arc::new(Worker {
@@ -43,10 +45,15 @@
         slots: number(2) as u32,
         work: Duration::from_millis(number(3)),
         poison: match args[4].as_str() {
-            other if other == "never" || other.starts_with("truncate:") => Poison::Never,
+            other if other.parse::<u64>().is_err() => Poison::Never,
             _ => Poison::After(Duration::from_millis(number(4))),
         },
         truncate_each: args[4].strip_prefix("truncate:").map_or(0, |text| text.parse().unwrap_or(0)),
+        fails_with: match args[4].as_str() {
+            "fail:500" => Some("500 Internal Server Error"),
+            "fail:503" => Some("503 Service Unavailable"),
+            _ => None,
+        },
         answers: AtomicU64::new(0),
         load: Mutex::new((0, 0)),
         freed: Condvar::new(),
@@ -127,6 +134,14 @@
             ("X-Server-Signature", &signature),
             ("X-Server-Load", &load),
         ];
+        let is_booking = request.word(1).starts_with("/book/");
+        if let Some(status) = self.fails_with.filter(|_| is_booking) {
+            let number = self.answers.fetch_add(1, Ordering::Relaxed);
+            if number * 9 % 20 < 9 {
+                say(&format!("fails {id} {status}"));
+                return respond(writer, status, &headers, b"the ledger is busy");
+            }
+        }
         if !request.word(1).starts_with("/file/") {
             return respond(writer, "200 OK", &headers, format!("{id} is done").as_bytes());
         }
