--- a/review/lib-2/main.rs
+++ b/review/lib-2/main.rs
@@ -19,10 +19,10 @@
     let has_trouble = std::env::var("TROUBLE").map_or(true, |value| value != "0");
     let result = match args.first().map(String::as_str) {
         Some("worker") => worker::main(&args[1..]).map(|()| true),
-        Some("6") => poison::play("6", &poison::SAME_PATH, has_trouble),
-        Some("7") => poison::play("7", &poison::SLOW_CRASH, has_trouble),
+        Some("6") => promise::play("6", has_trouble),
+        Some("7") => poison::play("7", &poison::SAME_PATH, has_trouble),
+        Some("8") => poison::play("8", &poison::SLOW_CRASH, has_trouble),
         Some("9") => timeout::play("9", has_trouble),
-        Some("10") => promise::play("10", has_trouble),
         _ => Err(std::io::Error::other("no such case")),
     };
     match result {
