--- a/review/lib-2/fleet.rs
+++ b/review/lib-2/fleet.rs
@@ -1,11 +1,11 @@
 //! A small deployment: the store, worker processes, the project's daemons and the clients.
 
-use crate::net::{Message, read_message};
+use crate::net::{Message, connect_from, read_message};
 use crate::store::Store;
 use std::collections::BTreeMap;
 use std::fs::File;
 use std::io::{self, BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, SocketAddr, TcpListener, TcpStream};
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
@@ -312,6 +312,8 @@
     pub name: String,
     pub directories: Vec<SocketAddr>,
     pub record: Arc<Record>,
+    /// Address from which the client connects.
+    source: Ipv4Addr,
     known: Vec<SocketAddr>,
     known_until: Instant,
     pub answers: BTreeMap<String, u64>,
@@ -332,9 +334,11 @@
 }
 
 impl Client {
-    pub fn new(name: &str, fleet: &Fleet) -> Self {
+    /// `number` is the last byte of the client's loopback address.
+    pub fn new(number: u8, fleet: &Fleet) -> Self {
         Self {
-            name: name.to_owned(),
+            name: format!("customer-{number}"),
+            source: Ipv4Addr::new(127, 90, 0, number),
             directories: fleet.directories.clone(),
             record: Arc::clone(&fleet.record),
             known: Vec::new(),
@@ -373,7 +377,7 @@
             };
             self.record.line(&format!("client {} sends {id} {} {} to {addr}", self.name, ask.method, ask.path));
             let sent = Instant::now();
-            let (answer, was_read) = attempt(addr, ask, &id, left);
+            let (answer, was_read) = attempt(self.source, addr, ask, &id, left);
             outcome = match &answer {
                 Ok(answer) => answer.status().to_string(),
                 Err(error) => format!("no answer ({error})"),
@@ -399,8 +403,14 @@
 }
 
 /// One attempt; also returns whether the daemon may have read the request.
-fn attempt(addr: SocketAddr, ask: &Ask<'_>, id: &str, left: Duration) -> (io::Result<Message>, bool) {
-    let mut stream = match TcpStream::connect_timeout(&addr, left.min(Duration::from_secs(1))) {
+fn attempt(
+    source: Ipv4Addr,
+    addr: SocketAddr,
+    ask: &Ask<'_>,
+    id: &str,
+    left: Duration,
+) -> (io::Result<Message>, bool) {
+    let mut stream = match connect_from(source, addr) {
         Ok(stream) => stream,
         Err(error) => return (Err(error), false),
     };
--- a/review/lib-2/net.rs
+++ b/review/lib-2/net.rs
@@ -3,7 +3,8 @@
 
 use std::collections::BTreeMap;
 use std::io::{self, BufRead, BufReader, Read, Write};
-use std::net::TcpStream;
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpStream};
+use std::os::fd::{AsRawFd, FromRawFd, OwnedFd};
 
 /// A request or a response.
 #[derive(Clone, Debug, Default)]
@@ -75,6 +76,49 @@
     Ok(Some(message))
 }
 
+/// `struct sockaddr_in` of Linux.
+#[repr(C)]
+struct InetAddr {
+    family: u16,
+    port: [u8; 2],
+    addr: [u8; 4],
+    zero: [u8; 8],
+}
+
+impl InetAddr {
+    fn new(addr: SocketAddrV4) -> Self {
+        let (port, addr) = (addr.port().to_be_bytes(), addr.ip().octets());
+        Self { family: AF_INET as u16, port, addr, zero: [0; 8] }
+    }
+}
+
+const AF_INET: i32 = 2;
+const SOCK_STREAM: i32 = 1;
+const SOCK_CLOEXEC: i32 = 0o2000000;
+
+unsafe extern "C" {
+    fn socket(domain: i32, kind: i32, protocol: i32) -> i32;
+    fn bind(fd: i32, addr: *const InetAddr, length: u32) -> i32;
+    fn connect(fd: i32, addr: *const InetAddr, length: u32) -> i32;
+}
+
+/// Connects from a given loopback address, so that callers can be told apart by their addresses. The
+/// standard library cannot bind a client's socket.
+pub fn connect_from(source: Ipv4Addr, addr: SocketAddr) -> io::Result<TcpStream> {
+    let SocketAddr::V4(addr) = addr else {
+        return Err(io::Error::other("not an IPv4 address"));
+    };
+    let check = |result: i32| if result < 0 { Err(io::Error::last_os_error()) } else { Ok(result) };
+    let length = size_of::<InetAddr>() as u32;
+    // The calls get a valid descriptor and a pointer to a structure of the stated length.
+    unsafe {
+        let fd = OwnedFd::from_raw_fd(check(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))?);
+        check(bind(fd.as_raw_fd(), &InetAddr::new(SocketAddrV4::new(source, 0)), length))?;
+        check(connect(fd.as_raw_fd(), &InetAddr::new(addr), length))?;
+        Ok(TcpStream::from(fd))
+    }
+}
+
 /// Writes a response with a length.
 pub fn respond(
     stream: &mut TcpStream,
--- a/review/lib-2/poison.rs
+++ b/review/lib-2/poison.rs
@@ -51,8 +51,8 @@
     fleet.record.say("the daemons are ready; the traffic begins");
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
-    for number in 1..=8 {
-        let (mut client, stop) = (Client::new(&format!("customer-{number}"), &fleet), Arc::clone(&stop));
+    for number in 1..=8_u8 {
+        let (mut client, stop) = (Client::new(number, &fleet), Arc::clone(&stop));
         threads.push(std::thread::spawn(move || {
             let customer = format!("X-Customer: {number}\r\n");
             let mut sent = 0;
@@ -69,7 +69,7 @@
     }
     std::thread::sleep(Duration::from_secs(2));
     let until = Instant::now() + LENGTH;
-    let mut customer = Client::new("customer-17", &fleet);
+    let mut customer = Client::new(17, &fleet);
     while Instant::now() < until {
         let (method, body, deadline_ms): (_, &[u8], _) =
             if plan.is_safe { ("GET", b"", 1_500) } else { ("POST", b"all of it", 2_000) };
--- a/review/lib-2/promise.rs
+++ b/review/lib-2/promise.rs
@@ -11,7 +11,7 @@
 const WORKERS: usize = 14;
 /// 2 of 14 workers: a share of 0.143.
 const FAILING: usize = 2;
-const CUSTOMERS: usize = 8;
+const CUSTOMERS: u8 = 8;
 const LENGTH: Duration = Duration::from_secs(20);
 
 const CONFIG: &str = r#"{"version":"00000007","services":[{"name":"desk","health_path":"/health","max_connections":220,"protocol":"h1","tls":false,"cold_start":"3s","cold_per_s":25.0}],"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout":"3000ms","idle_timeout":"15000ms"},"base_version":"00000005","hosts":[{"host":"shop.example","paths":[{"name":"r-book","prefix":"/book/","kind":"unsafe","timeout":"1000ms","target_latency":"300ms","priority":1,"service":"desk","max_attempts":2}]}]}"#;
@@ -37,8 +37,8 @@
     fleet.record.say("the daemons are ready; the traffic begins");
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
-    for number in 0..CUSTOMERS {
-        let (mut client, stop) = (Client::new(&format!("customer-{number}"), &fleet), Arc::clone(&stop));
+    for number in 1..=CUSTOMERS {
+        let (mut client, stop) = (Client::new(number, &fleet), Arc::clone(&stop));
         threads.push(std::thread::spawn(move || {
             let mut sent = 0;
             while !stop.load(Ordering::Acquire) {
--- a/review/lib-2/timeout.rs
+++ b/review/lib-2/timeout.rs
@@ -9,7 +9,7 @@
 
 const HOSTS: u8 = 4;
 const WORKERS: usize = 8;
-const CUSTOMERS: usize = 8;
+const CUSTOMERS: u8 = 8;
 /// `timeout` of the route, and the time after it at which the rule looks, in milliseconds.
 const TIMEOUT_MS: u64 = 1_500;
 const AFTER_MS: u64 = 500;
@@ -40,8 +40,8 @@
     fleet.record.say("the daemons are ready; the traffic begins");
     let stop = Arc::new(AtomicBool::new(false));
     let mut threads = Vec::new();
-    for number in 0..CUSTOMERS {
-        let (mut client, stop) = (Client::new(&format!("customer-{number}"), &fleet), Arc::clone(&stop));
+    for number in 1..=CUSTOMERS {
+        let (mut client, stop) = (Client::new(number, &fleet), Arc::clone(&stop));
         threads.push(std::thread::spawn(move || {
             let (mut sent, mut lost) = (0, 0);
             while !stop.load(Ordering::Acquire) {
