--- a/review/lib-2/worker.rs
+++ b/review/lib-2/worker.rs
@@ -19,6 +19,10 @@
     After(Duration),
 }
 
+/// Faults of answers come again and again, each time for no longer than in the site file.
+const FAULT_PERIOD: Duration = Duration::from_secs(10);
+const FAULT_LENGTH: Duration = Duration::from_millis(6_000);
+
 /// Bytes of the answer to a request for `/file/`.
 const FILE_BYTES: usize = 400_000;
 
@@ -32,6 +36,7 @@
     /// Status that nine in twenty requests for `/book/` get after they have run.
     fails_with: Option<&'static str>,
     answers: AtomicU64,
+    started: Instant,
     /// Running and waiting requests.
     load: Mutex<(u32, u32)>,
     freed: Condvar,
@@ -55,6 +60,7 @@
             _ => None,
         },
         answers: AtomicU64::new(0),
+        started: Instant::now(),
         load: Mutex::new((0, 0)),
         freed: Condvar::new(),
     });
@@ -90,6 +96,12 @@
         Ok(())
     }
 
+    /// Whether faults of answers are under way.
+    fn is_faulty(&self) -> bool {
+        let since = self.started.elapsed().as_millis() % FAULT_PERIOD.as_millis();
+        since < FAULT_LENGTH.as_millis()
+    }
+
     fn load_text(&self) -> String {
         let load = self.load.lock().unwrap();
         format!("{},{},{}", load.0, load.1, self.slots)
@@ -135,7 +147,7 @@
             ("X-Server-Load", &load),
         ];
         let is_booking = request.word(1).starts_with("/book/");
-        if let Some(status) = self.fails_with.filter(|_| is_booking) {
+        if let Some(status) = self.fails_with.filter(|_| is_booking && self.is_faulty()) {
             let number = self.answers.fetch_add(1, Ordering::Relaxed);
             if number * 9 % 20 < 9 {
                 say(&format!("fails {id} {status}"));
@@ -147,7 +159,7 @@
         }
         let file = vec![b'x'; FILE_BYTES];
         let number = self.answers.fetch_add(1, Ordering::Relaxed) + 1;
-        if self.truncate_each == 0 || !number.is_multiple_of(self.truncate_each) {
+        if self.truncate_each == 0 || !self.is_faulty() || !number.is_multiple_of(self.truncate_each) {
             return respond(writer, "200 OK", &headers, &file);
         }
         say(&format!("truncates {id}"));
