Do not pass on a refusal that a target does not confirm

Callers saw: a booking failed with 503, which means that it has not run, so they booked again, and it ran twice. Cause: a target ran the booking and failed it with a 503 of its own. The host passed on the status of every signed response, whatever callers read from it; 408 and 429 went the same way, and a signed 421 counted as "not run" and was sent again. In the regression test the line of the request reads status 503, code 0 and one step, "the target answered": the status is the target's, and there was no second send. That rules out a refusal by the host and a retry. Change: a signed response with a status that promises "not run", but without the target's statement, is the outcome Unconfirmed. It is never passed on; an at-most-once request ends with 502, code 1307, and an idempotent one is tried at another target within the budget. Why it works: 408, 421, 429 and 503 now reach a caller only from the host itself, for requests that were not sent or that the target stated not to have run.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -7,6 +7,7 @@
 use crate::in_flight::InFlight;
 use crate::probe::header_text;
 use crate::rate_limits::{ResponseKind, record_rate_limit};
+use crate::refusal::promises_not_run;
 use crate::response_body::{ResponseBody, StreamedResponse};
 use crate::target_notices::record_notices;
 use bytes::Bytes;
@@ -126,14 +127,22 @@
             ResponseKind::Request,
             self.clock.mono_ns(),
         );
-        let is_not_run = head.headers.contains_key(&self.headers.not_run)
-            || head.status == StatusCode::MISDIRECTED_REQUEST;
-        if is_not_run {
+        let is_signed = header_text(&head.headers, &self.headers.signature).is_some();
+        // Another target at the address does not sign its response.
+        let is_misdirected = head.status == StatusCode::MISDIRECTED_REQUEST && !is_signed;
+        if head.headers.contains_key(&self.headers.not_run) || is_misdirected {
             return (AttemptOutcome::NotRun, None, "the target did not run it");
         }
-        if header_text(&head.headers, &self.headers.signature).is_none() {
+        if !is_signed {
             return (AttemptOutcome::Broke, None, "the response has no signature");
         }
+        if promises_not_run(head.status) {
+            return (
+                AttemptOutcome::Unconfirmed,
+                None,
+                "the target refused it without stating that it did not run it",
+            );
+        }
         let end = if head.status.is_server_error() {
             AttemptOutcome::Failed
         } else {
--- a/crates/gateway/src/forward.rs
+++ b/crates/gateway/src/forward.rs
@@ -413,7 +413,7 @@
                     stat.count(attempted.took_us);
                 }
             }
-            AttemptOutcome::Failed => {
+            AttemptOutcome::Failed | AttemptOutcome::Unconfirmed => {
                 let now = self.clock.mono_ns();
                 self.board.served.record(call.digest, now);
                 target.cell.record_failure(now);
--- a/crates/gateway/src/move_observation.rs
+++ b/crates/gateway/src/move_observation.rs
@@ -44,7 +44,9 @@
     pub(crate) fn finish(mut self, outcome: AttemptOutcome) {
         let sample = match outcome {
             AttemptOutcome::Answered => Some(MoveSample::Good(self.took_us())),
-            AttemptOutcome::Failed | AttemptOutcome::Broke => Some(MoveSample::Bad),
+            AttemptOutcome::Failed | AttemptOutcome::Unconfirmed | AttemptOutcome::Broke => {
+                Some(MoveSample::Bad)
+            }
             AttemptOutcome::NoTarget | AttemptOutcome::NeverSent | AttemptOutcome::NotRun => None,
         };
         if let Some((tracker, sample)) = self.tracker.take().zip(sample) {
--- a/crates/gateway/src/progress.rs
+++ b/crates/gateway/src/progress.rs
@@ -61,7 +61,10 @@
         match attempted.end {
             AttemptOutcome::NoTarget | AttemptOutcome::NeverSent => self.unsent_attempts += 1,
             AttemptOutcome::NotRun => self.sends += 1,
-            AttemptOutcome::Answered | AttemptOutcome::Failed | AttemptOutcome::Broke => {
+            AttemptOutcome::Answered
+            | AttemptOutcome::Failed
+            | AttemptOutcome::Unconfirmed
+            | AttemptOutcome::Broke => {
                 self.sends += 1;
                 self.may_have_run = true;
             }
@@ -95,10 +98,9 @@
 
     /// Returns the code that ends the request if no further attempt succeeds.
     fn code(&self, end: AttemptOutcome) -> Code {
-        if self.may_have_run {
-            return Code::TargetBroke;
-        }
         match end {
+            AttemptOutcome::Unconfirmed => Code::UnconfirmedRefusal,
+            _ if self.may_have_run => Code::TargetBroke,
             AttemptOutcome::NotRun => Code::TargetShed,
             AttemptOutcome::NeverSent => Code::NoTarget,
             // An earlier attempt reached a target that shed the request.
--- a/crates/gateway/src/refusal.rs
+++ b/crates/gateway/src/refusal.rs
@@ -3,7 +3,7 @@
 use crate::ResponseBody;
 use heatherhinge_types::{Code, header};
 use http::header::{CONNECTION, CONTENT_TYPE, RETRY_AFTER};
-use http::{HeaderName, HeaderValue, Response};
+use http::{HeaderName, HeaderValue, Response, StatusCode};
 
 /// `Retry-After` of a request shed by a target that had reported room, in milliseconds. Another
 /// target may well take it, and the caller's objective can still be met.
@@ -18,6 +18,19 @@
 /// `Retry-After` while the host cannot serve the request, in milliseconds.
 const RETRY_AFTER_START_MS: u64 = 300;
 
+/// Returns whether callers take a status for the promise that the request has not run and never will.
+/// Only the target can keep it for a request that has been sent, so a target's status is not enough:
+/// it must state as well that it did not run the request.
+pub(crate) const fn promises_not_run(status: StatusCode) -> bool {
+    matches!(
+        status,
+        StatusCode::REQUEST_TIMEOUT
+            | StatusCode::MISDIRECTED_REQUEST
+            | StatusCode::TOO_MANY_REQUESTS
+            | StatusCode::SERVICE_UNAVAILABLE
+    )
+}
+
 /// Returns the response for a code; `after_ms` is the time after which the caller may come back.
 pub(crate) fn refusal(
     code: Code,
--- a/crates/steering/src/attempt.rs
+++ b/crates/steering/src/attempt.rs
@@ -13,6 +13,9 @@
     Answered,
     /// The target sent an error response; the request may have run.
     Failed,
+    /// The target sent the status of a refusal without stating that it did not run the request; it
+    /// may have run.
+    Unconfirmed,
     /// The request was sent and no complete response arrived; it may have run.
     Broke,
 }
@@ -66,7 +69,9 @@
         AttemptOutcome::NotRun if may_send => NextStep::Retry {
             draws_on_budget: true,
         },
-        AttemptOutcome::Failed | AttemptOutcome::Broke if may_send && context.is_idempotent => {
+        AttemptOutcome::Failed | AttemptOutcome::Unconfirmed | AttemptOutcome::Broke
+            if may_send && context.is_idempotent =>
+        {
             NextStep::Retry {
                 draws_on_budget: true,
             }
--- a/crates/types/src/code.rs
+++ b/crates/types/src/code.rs
@@ -95,6 +95,7 @@
     TargetBroke = 1304, BAD_GATEWAY, Unknown, "The connection to the target broke before its answer was whole.";
     DeadlinePassed = 1305, GATEWAY_TIMEOUT, Unknown, "The deadline passed while a target had the request.";
     BadAnswer = 1306, BAD_GATEWAY, Unknown, "The target's answer is malformed.";
+    UnconfirmedRefusal = 1307, BAD_GATEWAY, Unknown, "The target refused the request without stating that it did not run.";
     Quarantined = 1409, CONFLICT, Unknown, "Requests like this one crashed several targets and are held back.";
     HeldBack = 1410, SERVICE_UNAVAILABLE, No, "Requests like this one crash targets; this one was not sent.";
     NotFresh = 1502, SERVICE_UNAVAILABLE, No, "This host cannot tell whether its bundle is the newest.";
