Remove the host's own promises from responses of targets

A response with the header "Heatherhinge-Ran: no" means that the request may be sent again. Cause: only hop-by-hop headers were removed from a target's response, so a target that copies headers from the response to a call of its own made a promise about the caller's request, which it had run. Evidence: the test gets 503 with "heatherhinge-ran: no" from a target. Change: Heatherhinge-Ran and Heatherhinge-Code are removed from responses of targets; those of a host that a request was relayed to stay. Why it works: these headers now come only from a host. Result: promises_of_a_target_are_not_forwarded failed before and passes.

--- a/crates/proxy/src/headers.rs
+++ b/crates/proxy/src/headers.rs
@@ -33,6 +33,13 @@
     }
 }
 
+/// Removes the headers with which a host states what became of a request. A target may have copied
+/// them from the response to a call of its own, and `no` is a promise to the caller.
+pub(crate) fn strip_refusal_headers(headers: &mut HeaderMap) {
+    headers.remove(header::CODE);
+    headers.remove(header::RAN);
+}
+
 /// W3C trace context of a request. Each hop sends a 64-bit span id of its own.
 #[derive(Clone, Debug)]
 pub(crate) struct Trace {
--- a/crates/proxy/src/sender.rs
+++ b/crates/proxy/src/sender.rs
@@ -1,7 +1,7 @@
 //! Sends attempts to targets and reports the results to counters, observer and partition owners.
 
 use crate::attempt::{AttemptResult, TargetClient, attempt_request, send};
-use crate::headers::AttemptHeaders;
+use crate::headers::{AttemptHeaders, strip_refusal_headers};
 use crate::request_context::{AcquiredTarget, RequestContext};
 use crate::{Clock, Observation, ObservationKind, Observer, PartitionOwners};
 use heatherhinge_blackboard::{Blackboard, RouteCounters, TargetCell};
@@ -105,6 +105,9 @@
             return Ok(AttemptResult::no_response(AttemptOutcome::LeaseEnded));
         }
         let mut result = send(&self.client, request, Duration::from_nanos(remaining_ns)).await;
+        if let Some(response) = &mut result.response {
+            strip_refusal_headers(response.headers_mut());
+        }
         result.latency_ns = self.clock.mono_ns().ns_since(sent.mono_ns);
         context.target_ns += result.latency_ns;
         Ok(result)
--- a/crates/proxy/tests/path.rs
+++ b/crates/proxy/tests/path.rs
@@ -209,6 +209,25 @@
     host.stop().await;
 }
 
+/// Guards against a promise of the host that a target copied from the response to a call of its own:
+/// the caller would send a request again that has run.
+#[tokio::test]
+async fn promises_of_a_target_are_not_forwarded() {
+    let response = b"HTTP/1.1 503 Busy\r\ncontent-length: 0\r\nheatherhinge-ran: no\r\n\
+        heatherhinge-code: 1301\r\nx-kept: 1\r\n\r\n";
+    let host = entry_host(raw_target(response).await).await;
+    let got = round_trip(host.addr(), GET).await;
+    assert!(
+        got.starts_with("HTTP/1.1 503") && got.contains("x-kept: 1"),
+        "{got}"
+    );
+    assert!(
+        !got.contains("heatherhinge-ran") && !got.contains("heatherhinge-code"),
+        "{got}"
+    );
+    host.stop().await;
+}
+
 /// Guards against smuggled, oversized, slow and malformed requests reaching a target.
 #[parameterized(
     two_lengths = { b"POST /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", "400" },
