Log streamed responses that end early

The line of a request is written when the head of its response is forwarded, so the log said status 200 after 60 ms for a download that ended without its body 4 s later, and nothing told a target that broke off from one that stopped sending, or from a caller that had left. Change: one more line, within the limits of the log, for a streamed response that ends early: the target, the bytes forwarded, the time taken and allowed, and which side ended it. A counter, streams_cut_total, counts those that the target or the time ended. Result: no other change of behaviour.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -9,6 +9,7 @@
 use crate::rate_limits::{ResponseKind, record_rate_limit};
 use crate::refusal::promises_not_run;
 use crate::response_body::{ResponseBody, StreamedResponse};
+use crate::stream_log::StreamLog;
 use crate::target_notices::record_notices;
 use bytes::Bytes;
 use heatherhinge_proxy::{Clock, strip_hop_by_hop};
@@ -46,7 +47,7 @@
 /// A request to be sent to a target.
 #[derive(Debug)]
 pub(crate) struct OutgoingRequest<'a> {
-    pub(crate) board: &'a SteeringBoard,
+    pub(crate) board: &'a Arc<SteeringBoard>,
     pub(crate) call: &'a Call,
     pub(crate) headers: &'a WireHeaders,
     pub(crate) target: &'a Target,
@@ -150,7 +151,8 @@
         };
         let left_ns = self.call.deadline.ns_since(self.clock.mono_ns());
         let deadline = Instant::now() + Duration::from_nanos(left_ns);
-        match receive_body(body, connection, connection_pool, in_flight, deadline).await {
+        let received = self.receive_body(body, connection, connection_pool, in_flight, deadline);
+        match received.await {
             Some(body) => {
                 let mut response = Response::from_parts(head, body);
                 strip_hop_by_hop(response.headers_mut());
@@ -159,34 +161,36 @@
             None => (AttemptOutcome::Broke, None, "the response was cut off"),
         }
     }
-}
 
-/// Reads a small response completely. A large one, or one of unknown length, is forwarded as it
-/// arrives, until the caller's deadline.
-async fn receive_body(
-    incoming: Incoming,
-    mut connection: Connection,
-    connection_pool: Arc<ConnectionPool>,
-    in_flight: InFlight,
-    deadline: Instant,
-) -> Option<ResponseBody> {
-    let is_small = incoming
-        .size_hint()
-        .exact()
-        .is_some_and(|bytes| bytes <= MAX_BUFFERED_RESPONSE_BYTES);
-    if !is_small {
-        return Some(ResponseBody::Stream(Box::new(StreamedResponse {
-            incoming,
-            connection: Some(connection),
-            connection_pool,
-            _in_flight: in_flight,
-            deadline: Box::pin(sleep_until(deadline)),
-        })));
+    /// Reads a small response completely. A large one, or one of unknown length, is forwarded as it
+    /// arrives, until the caller's deadline.
+    async fn receive_body(
+        &self,
+        incoming: Incoming,
+        mut connection: Connection,
+        connection_pool: Arc<ConnectionPool>,
+        in_flight: InFlight,
+        deadline: Instant,
+    ) -> Option<ResponseBody> {
+        let is_small = incoming
+            .size_hint()
+            .exact()
+            .is_some_and(|bytes| bytes <= MAX_BUFFERED_RESPONSE_BYTES);
+        if !is_small {
+            return Some(ResponseBody::Stream(Box::new(StreamedResponse {
+                incoming,
+                connection: Some(connection),
+                connection_pool,
+                _in_flight: in_flight,
+                deadline: Box::pin(sleep_until(deadline)),
+                log: StreamLog::new(self.board, self.clock, self.call, self.target),
+            })));
+        }
+        let bytes = incoming.collect().await.ok()?.to_bytes();
+        connection.served_at = Some(Instant::now());
+        connection_pool.put_back(connection);
+        Some(ResponseBody::full(bytes))
     }
-    let bytes = incoming.collect().await.ok()?.to_bytes();
-    connection.served_at = Some(Instant::now());
-    connection_pool.put_back(connection);
-    Some(ResponseBody::full(bytes))
 }
 
 impl AttemptResult {
--- a/crates/gateway/src/metrics.rs
+++ b/crates/gateway/src/metrics.rs
@@ -12,12 +12,13 @@
 /// Returns all counters, gauges and histograms of a host.
 pub(crate) fn render(board: &SteeringBoard, fleet_board: &FleetBoard, now: MonoNs) -> String {
     let counts = &board.counts;
-    let counters: [(&str, &AtomicU64); 10] = [
+    let counters: [(&str, &AtomicU64); 11] = [
         ("requests_total", &counts.requests),
         ("requests_in_flight", &counts.in_flight),
         ("delivered_total", &counts.delivered),
         ("refused_total", &counts.refused),
         ("failed_total", &counts.failed),
+        ("streams_cut_total", &counts.cut_streams),
         ("sends_total", &counts.sends),
         ("repeats_total", &counts.retries),
         ("probes_total", &counts.probes),
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use crate::connection_pools::ConnectionPool;
 use crate::in_flight::InFlight;
+use crate::stream_log::{EarlyEnd, StreamLog};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
 use hyper::body::Incoming;
@@ -42,6 +43,7 @@
     pub(crate) _in_flight: InFlight,
     /// Ends at the caller's deadline. A faulty target may send a body without end.
     pub(crate) deadline: Pin<Box<Sleep>>,
+    pub(crate) log: StreamLog,
 }
 
 impl StreamedResponse {
@@ -50,11 +52,20 @@
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, axum::Error>>> {
         if self.deadline.as_mut().poll(cx).is_ready() {
+            self.log.end_early(EarlyEnd::OutOfTime);
             let elapsed =
                 io::Error::new(io::ErrorKind::TimedOut, "the caller's deadline has passed");
             return Poll::Ready(Some(Err(axum::Error::new(elapsed))));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
+        match &polled {
+            Poll::Ready(Some(Ok(frame))) => {
+                let bytes = frame.data_ref().map_or(0, Bytes::len);
+                self.log.add_bytes(bytes as u64);
+            }
+            Poll::Ready(Some(Err(_))) => self.log.end_early(EarlyEnd::TargetBroke),
+            Poll::Ready(None) | Poll::Pending => {}
+        }
         if matches!(polled, Poll::Ready(None)) || self.incoming.is_end_stream() {
             self.finish();
         }
@@ -63,6 +74,7 @@
 
     /// Returns the connection to its pool once the whole response has arrived.
     fn finish(&mut self) {
+        self.log.complete();
         if let Some(mut connection) = self.connection.take() {
             connection.served_at = Some(Instant::now());
             self.connection_pool.put_back(connection);
--- a/crates/steering/src/board.rs
+++ b/crates/steering/src/board.rs
@@ -24,6 +24,8 @@
     pub refused: AtomicU64,
     /// Requests that failed and may have run.
     pub failed: AtomicU64,
+    /// Streamed responses that ended early because of the target or of the time allowed.
+    pub cut_streams: AtomicU64,
     /// Requests sent to targets.
     pub sends: AtomicU64,
     /// Retries and hedged requests.
