End streamed responses at the route's timeout

Callers saw: downloads that stopped midway hung until the caller's own deadline of 4 s on a route with a timeout of 1.5 s, and were never served. Cause: the time of a streamed response, one above 256 KiB or of unknown length, came from the caller's deadline alone; the route's timeout ended only the wait for its head and small responses. Change: a streamed response ends at the earlier of the route's timeout and the caller's deadline, the time that the target was given too. Why it works: it is the only wait of a request that did not use the effective deadline; the caller has time left for another attempt.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -149,7 +149,7 @@
         } else {
             AttemptOutcome::Answered
         };
-        let left_ns = self.call.deadline.ns_since(self.clock.mono_ns());
+        let left_ns = self.call.effective_deadline.ns_since(self.clock.mono_ns());
         let deadline = Instant::now() + Duration::from_nanos(left_ns);
         let received = self.receive_body(body, connection, connection_pool, in_flight, deadline);
         match received.await {
@@ -163,7 +163,7 @@
     }
 
     /// Reads a small response completely. A large one, or one of unknown length, is forwarded as it
-    /// arrives, until the caller's deadline.
+    /// arrives, until `deadline`.
     async fn receive_body(
         &self,
         incoming: Incoming,
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -41,7 +41,8 @@
     pub(crate) connection: Option<Connection>,
     pub(crate) connection_pool: Arc<ConnectionPool>,
     pub(crate) _in_flight: InFlight,
-    /// Ends at the caller's deadline. A faulty target may send a body without end.
+    /// Ends at the route's timeout, or at the caller's deadline if that is earlier. A faulty target
+    /// may stop in the middle of a body, or send one without end.
     pub(crate) deadline: Pin<Box<Sleep>>,
     pub(crate) log: StreamLog,
 }
@@ -54,7 +55,7 @@
         if self.deadline.as_mut().poll(cx).is_ready() {
             self.log.end_early(EarlyEnd::OutOfTime);
             let elapsed =
-                io::Error::new(io::ErrorKind::TimedOut, "the caller's deadline has passed");
+                io::Error::new(io::ErrorKind::TimedOut, "the time for the response is over");
             return Poll::Ready(Some(Err(axum::Error::new(elapsed))));
         }
         let polled = Pin::new(&mut self.incoming).poll_frame(cx);
