End responses at the request's deadline at the own interface

A response that arrived slowly or without end was forwarded for as long as the caller stayed. Cause: only a pause of 10 s without any byte ended the body of a response; the deadline ended with its head. Change: the body also ends at the request's deadline, for responses of targets, relayed ones and those that are buffered for a key. Why it works: a body has two limits now, the pause and the time left, and the caller's connection is reset at the first of them. Result: both cases of endless_response_ends_at_the_deadline failed before (no end within 5 s of a deadline of 0.5 s) and pass.

--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -8,7 +8,7 @@
 use crate::request::RequestBody;
 use crate::request_context::{RequestContext, TargetResponse};
 use crate::request_records::RequestRecords;
-use crate::response_body::ActiveRequest;
+use crate::response_body::{ActiveRequest, BodyTimes};
 use crate::sender::Sender;
 use crate::stored_response::{STORED_BODY_MAX_BYTES, replay, stored_response};
 use crate::{Clock, Limits, Observer, PartitionOwners, ResponseBody, StreamedResponseBody};
@@ -246,18 +246,19 @@
             )
         });
         let status = result.as_ref().map(|response| response.status().as_u16());
+        let times = self.body_times(&context);
         self.finish_records(context, status.map_err(|(code, _)| *code));
-        let idle = self.limits.idle();
         result
-            .map(|response| response.map(|body| StreamedResponseBody::relayed(body, idle).into()))
+            .map(|response| response.map(|body| StreamedResponseBody::relayed(body, times).into()))
             .map_err(|(_, error)| error)
     }
 
     /// Runs a request that needs no claim and streams its response.
     async fn run(&self, mut context: RequestContext) -> Result<Response<ResponseBody>, Code> {
         let result = self.run_attempts(&mut context).await;
+        let times = self.body_times(&context);
         self.finish_records(context, status_of(&result));
-        result.map(|target_response| self.stream(target_response))
+        result.map(|target_response| stream(target_response, times))
     }
 
     /// Runs a request with a key under a claim.
@@ -292,9 +293,10 @@
         }
         let digest = context.digest;
         let result = self.run_attempts(&mut context).await;
+        let times = self.body_times(&context);
         self.finish_records(context, status_of(&result));
         let (outcome, response) = match result {
-            Ok(target_response) => self.buffer_small(target_response).await,
+            Ok(target_response) => buffer_small(target_response, times).await,
             Err(code) if code.ran() == Ran::No => (Outcome::NotRun, Err(code)),
             Err(code) => (Outcome::Unknown, Err(code)),
         };
@@ -429,37 +431,11 @@
         )
     }
 
-    fn stream(&self, target_response: TargetResponse) -> Response<ResponseBody> {
-        let TargetResponse { response, acquired } = target_response;
-        let idle = self.limits.idle();
-        response.map(|incoming| {
-            let body =
-                StreamedResponseBody::new(incoming, idle, acquired.chosen.in_flight, acquired.wake);
-            ResponseBody::from(body)
-        })
-    }
-
-    /// Buffers a small response, so that the owner of the key can replay it, and streams a larger
-    /// one.
-    async fn buffer_small(
-        &self,
-        target_response: TargetResponse,
-    ) -> (Outcome, Result<Response<ResponseBody>, Code>) {
-        let size = target_response.response.body().size_hint().exact();
-        if size.is_none_or(|bytes| bytes > STORED_BODY_MAX_BYTES) {
-            return (Outcome::Completed(None), Ok(self.stream(target_response)));
-        }
-        let (head, body) = target_response.response.into_parts();
-        let collected = timeout(self.limits.idle(), body.collect()).await;
-        drop(target_response.acquired);
-        match collected {
-            Ok(Ok(body)) => {
-                let body = body.to_bytes();
-                let stored = stored_response(&head, &body);
-                let response = Response::from_parts(head, ResponseBody::full(body));
-                (Outcome::Completed(Some(stored)), Ok(response))
-            }
-            _ => (Outcome::Completed(None), Err(Code::TargetBroke)),
+    fn body_times(&self, context: &RequestContext) -> BodyTimes {
+        let left_ns = context.plan.deadline_ns.ns_since(self.clock.mono_ns());
+        BodyTimes {
+            idle: self.limits.idle(),
+            left: Duration::from_nanos(left_ns),
         }
     }
 
@@ -509,3 +485,35 @@
         Err(code) => Err(*code),
     }
 }
+
+fn stream(target_response: TargetResponse, times: BodyTimes) -> Response<ResponseBody> {
+    let TargetResponse { response, acquired } = target_response;
+    response.map(|incoming| {
+        let body =
+            StreamedResponseBody::new(incoming, times, acquired.chosen.in_flight, acquired.wake);
+        ResponseBody::from(body)
+    })
+}
+
+/// Buffers a small response, so that the owner of the key can replay it, and streams a larger one.
+async fn buffer_small(
+    target_response: TargetResponse,
+    times: BodyTimes,
+) -> (Outcome, Result<Response<ResponseBody>, Code>) {
+    let size = target_response.response.body().size_hint().exact();
+    if size.is_none_or(|bytes| bytes > STORED_BODY_MAX_BYTES) {
+        return (Outcome::Completed(None), Ok(stream(target_response, times)));
+    }
+    let (head, body) = target_response.response.into_parts();
+    let collected = timeout(times.idle.min(times.left), body.collect()).await;
+    drop(target_response.acquired);
+    match collected {
+        Ok(Ok(body)) => {
+            let body = body.to_bytes();
+            let stored = stored_response(&head, &body);
+            let response = Response::from_parts(head, ResponseBody::full(body));
+            (Outcome::Completed(Some(stored)), Ok(response))
+        }
+        _ => (Outcome::Completed(None), Err(Code::TargetBroke)),
+    }
+}
--- a/crates/proxy/src/response_body.rs
+++ b/crates/proxy/src/response_body.rs
@@ -34,6 +34,8 @@
     Broken(hyper::Error),
     /// No response data arrived within the idle timeout.
     Stalled,
+    /// The deadline of the request passed before the response was complete.
+    OutOfTime,
     /// Reading the body of an admin response failed.
     Admin(axum::Error),
 }
@@ -43,6 +45,7 @@
         match self {
             Self::Broken(error) => write!(f, "reading the response body failed: {error}"),
             Self::Stalled => f.write_str("no response data arrived within the idle timeout"),
+            Self::OutOfTime => f.write_str("the deadline passed before the response was complete"),
             Self::Admin(error) => write!(f, "reading the admin response body failed: {error}"),
         }
     }
@@ -56,12 +59,23 @@
     incoming: Incoming,
     idle: Duration,
     stalled_at: Pin<Box<Sleep>>,
+    /// Ends at the deadline of the request. A target may send a body without end.
+    deadline: Pin<Box<Sleep>>,
     // Fields drop in this order: the slot is free before a waiting request is woken.
     _in_flight: Option<InFlight>,
     _wake: Option<WakeOnDrop>,
     active: Option<ActiveRequest>,
 }
 
+/// Times within which a response body must arrive.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct BodyTimes {
+    /// Longest time between two parts of it.
+    pub(crate) idle: Duration,
+    /// Time left until the deadline of the request.
+    pub(crate) left: Duration,
+}
+
 /// Counts a caller's request as in flight on this host until it is dropped.
 #[derive(Debug)]
 pub(crate) struct ActiveRequest(Arc<Blackboard>);
@@ -92,15 +106,15 @@
 impl StreamedResponseBody {
     pub(crate) fn new(
         incoming: Incoming,
-        idle: Duration,
+        times: BodyTimes,
         in_flight: InFlight,
         wake: WakeOnDrop,
     ) -> Self {
-        let stalled_at = Box::pin(sleep(idle));
         Self {
             incoming,
-            idle,
-            stalled_at,
+            idle: times.idle,
+            stalled_at: Box::pin(sleep(times.idle)),
+            deadline: Box::pin(sleep(times.left)),
             _in_flight: Some(in_flight),
             _wake: Some(wake),
             active: None,
@@ -108,12 +122,12 @@
     }
 
     /// Creates the body of a response from another entry host.
-    pub(crate) fn relayed(incoming: Incoming, idle: Duration) -> Self {
-        let stalled_at = Box::pin(sleep(idle));
+    pub(crate) fn relayed(incoming: Incoming, times: BodyTimes) -> Self {
         Self {
             incoming,
-            idle,
-            stalled_at,
+            idle: times.idle,
+            stalled_at: Box::pin(sleep(times.idle)),
+            deadline: Box::pin(sleep(times.left)),
             _in_flight: None,
             _wake: None,
             active: None,
@@ -124,6 +138,9 @@
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, ResponseBodyError>>> {
+        if self.deadline.as_mut().poll(cx).is_ready() {
+            return Poll::Ready(Some(Err(ResponseBodyError::OutOfTime)));
+        }
         match Pin::new(&mut self.incoming).poll_frame(cx) {
             Poll::Ready(frame) => {
                 let until = Instant::now() + self.idle;
--- a/crates/proxy/tests/path.rs
+++ b/crates/proxy/tests/path.rs
@@ -21,6 +21,7 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::sync::Arc;
+use std::time::Duration;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use yare::parameterized;
@@ -228,6 +229,38 @@
     host.stop().await;
 }
 
+/// Guards against a response that arrives without end, or too slowly, and holds its caller beyond the
+/// deadline, whether its size is known or not.
+#[parameterized(
+    chunks = { "transfer-encoding: chunked\r\n", "1\r\nx\r\n" },
+    length = { "content-length: 1000\r\n", "x" },
+)]
+#[test_macro(tokio::test)]
+async fn endless_response_ends_at_the_deadline(framing: &'static str, piece: &'static str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let host = entry_host(listener.local_addr().unwrap()).await;
+    tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        let head = format!("HTTP/1.1 200 OK\r\n{framing}\r\n");
+        stream.write_all(head.as_bytes()).await.unwrap();
+        // Ends with an error when the host closes the connection.
+        while stream.write_all(piece.as_bytes()).await.is_ok() {
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+    });
+    let request = b"GET /orders/stock HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+        heatherhinge-deadline-ms: 500\r\n\r\n";
+    let caller = round_trip(host.addr(), request);
+    let got = tokio::time::timeout(Duration::from_secs(5), caller).await;
+    let got = got.expect("the response must end");
+    assert!(
+        got.contains("200 OK") && !got.ends_with("0\r\n\r\n"),
+        "{got}"
+    );
+    host.stop().await;
+}
+
 /// Guards against smuggled, oversized, slow and malformed requests reaching a target.
 #[parameterized(
     two_lengths = { b"POST /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", "400" },
