--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::stream_log::StreamLog;
 use crate::target_notices::record_notices;
 use bytes::Bytes;
-use heatherhinge_proxy::{Clock, strip_hop_by_hop};
+use heatherhinge_proxy::{Clock, is_final_status, strip_hop_by_hop};
 use heatherhinge_steering::{AttemptOutcome, SteeringBoard, Target, TargetLoad};
 use heatherhinge_types::{MonoNs, Name};
 use http::header::{CONTENT_LENGTH, EXPECT};
@@ -105,6 +105,13 @@
                 return (AttemptOutcome::Broke, None, "the connection broke");
             }
         };
+        if !is_final_status(head.status) {
+            return (
+                AttemptOutcome::Broke,
+                None,
+                "the response has an invalid status",
+            );
+        }
         if head.headers.get(&self.headers.request_id) != Some(&self.call.id) {
             return (
                 AttemptOutcome::Broke,
--- a/crates/proxy/src/attempt.rs
+++ b/crates/proxy/src/attempt.rs
@@ -3,6 +3,7 @@
 use crate::Limits;
 use crate::headers::{AttemptHeaders, Trace, set_attempt_headers, strip_hop_by_hop, target_uri};
 use crate::outgoing_body::OutgoingBody;
+use crate::status::is_final_status;
 use heatherhinge_policy::AttemptOutcome;
 use heatherhinge_types::{LoadReport, header};
 use http::request::Parts;
@@ -103,6 +104,9 @@
     };
     let (is_not_run, is_already_retried) = (is_set(header::NOT_RUN), is_set(header::RETRIED));
     strip_hop_by_hop(headers);
+    if !is_final_status(response.status()) {
+        return AttemptResult::no_response(AttemptOutcome::BadAnswer);
+    }
     let status = response.status().as_u16();
     let outcome = match status {
         425 | 429 | 503 if is_not_run => AttemptOutcome::Shed,
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -24,6 +24,7 @@
 mod response_body;
 mod sender;
 mod server;
+mod status;
 mod stored_response;
 
 pub use clock::Clock;
@@ -34,3 +35,4 @@
 pub use partition_owners::{NullPartitionOwners, PartitionOwners};
 pub use response_body::{ResponseBody, StreamedResponseBody};
 pub use server::{Server, ServerHandle};
+pub use status::is_final_status;
--- a/crates/proxy/tests/path.rs
+++ b/crates/proxy/tests/path.rs
@@ -188,6 +188,9 @@
     no_head = { b"", "502", Some("1304") },
     malformed_head = { b"bells and drums\r\n\r\n", "502", Some("1306") },
     two_lengths = { b"HTTP/1.1 200 OK\r\ncontent-length: 5\r\ncontent-length: 6\r\n\r\nbells!", "502", Some("1306") },
+    status_zero = { b"HTTP/1.1 000 OK\r\ncontent-length: 5\r\n\r\nbells", "502", Some("1306") },
+    status_beyond_599 = { b"HTTP/1.1 600 Beyond\r\ncontent-length: 5\r\n\r\nbells", "502", Some("1306") },
+    unasked_protocol = { b"HTTP/1.1 101 Switching Protocols\r\nupgrade: bells\r\n\r\nbells", "502", Some("1306") },
 )]
 #[test_macro(tokio::test)]
 async fn broken_response_is_not_complete(
