Close the connection of a caller that does not read its response

Callers saw: nothing reported; found while looking for bytes without end. Targets saw connections that stayed open beyond the route's timeout for as long as some caller stayed without reading. Cause: the time of a streamed response is checked when the response is asked for more, and the library asks only once what it has is written. Evidence: 30 callers that read nothing, a target whose body does not end: "a connection is still open" 1.5 s after the timeout. The memory of the host was 14 MB at its peak, so bytes are not what it keeps. Change: the connection of a caller knows until when the response that is streamed on it may last, and closes 0.1 s after that; the log says that the caller did not read it in time. Why it works: the time is watched beside the connection, whether the response is polled or not, and closing it drops the response with the connection and the slot of the target. Result: responses_without_end_are_not_kept::body_without_length failed before and passes.

--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -191,6 +191,7 @@
                 _in_flight: in_flight,
                 deadline: Box::pin(sleep_until(deadline)),
                 log: StreamLog::new(self.board, self.clock, self.call, self.target),
+                guard: None,
             })));
         }
         let bytes = incoming.collect().await.ok()?.to_bytes();
--- a/crates/gateway/src/caller_server.rs
+++ b/crates/gateway/src/caller_server.rs
@@ -2,6 +2,7 @@
 
 use crate::forward::Forwarder;
 use crate::response_body::ResponseBody;
+use crate::stream_deadline::StreamDeadline;
 use axum::Router;
 use heatherhinge_orders::CallerLimits;
 use http::{Request, Response};
@@ -86,18 +87,28 @@
     let limits = forwarder.board.routes.read().value.limits;
     let requests = Arc::new(ConnectionRequests::default());
     let counted = Arc::clone(&requests);
+    let stream_deadline = StreamDeadline::new();
+    let limit = stream_deadline.clone();
     let service = service_fn(move |request: Request<Incoming>| {
         let (forwarder, requests) = (Arc::clone(&forwarder), Arc::clone(&counted));
+        let limit = limit.clone();
         requests.begun.fetch_add(1, Ordering::Relaxed);
         async move {
-            let response = forwarder.forward(request).await;
+            let mut response = forwarder.forward(request).await;
+            response.body_mut().limit(&limit);
             requests.answered.fetch_add(1, Ordering::Relaxed);
             Ok::<_, Infallible>(response)
         }
     });
     let connection = builder(&limits).serve_connection(TokioIo::new(stream), service);
-    if let Err(error) = drive(connection, mode, &requests).await {
-        tracing::debug!("gateway: caller connection closed on an error: {error}");
+    tokio::select! {
+        biased;
+        result = drive(connection, mode, &requests) => if let Err(error) = result {
+            tracing::debug!("gateway: caller connection closed on an error: {error}");
+        },
+        () = stream_deadline.passed() => {
+            tracing::debug!("gateway: connection closed, its caller did not read the response");
+        }
     }
 }
 
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -40,6 +40,7 @@
 mod settings;
 mod startup_delays;
 mod store_call_scheduler;
+mod stream_deadline;
 mod stream_log;
 mod sync_peers;
 mod target_notices;
--- a/crates/gateway/src/response_body.rs
+++ b/crates/gateway/src/response_body.rs
@@ -3,6 +3,7 @@
 use crate::connection::Connection;
 use crate::connection_pools::ConnectionPool;
 use crate::in_flight::InFlight;
+use crate::stream_deadline::{StreamDeadline, StreamGuard};
 use crate::stream_log::{EarlyEnd, StreamLog};
 use bytes::Bytes;
 use http_body::{Body, Frame, SizeHint};
@@ -31,6 +32,14 @@
     pub fn full(bytes: impl Into<Bytes>) -> Self {
         Self::Full(Some(bytes.into()))
     }
+
+    /// Makes a streamed response known to the connection that it is sent on.
+    pub(crate) fn limit(&mut self, stream_deadline: &StreamDeadline) {
+        if let Self::Stream(response) = self {
+            let guard = stream_deadline.begin(response.deadline.deadline());
+            response.guard = Some(guard);
+        }
+    }
 }
 
 /// A response that is forwarded as it arrives. An error while streaming resets the caller's
@@ -45,6 +54,8 @@
     /// may stop in the middle of a body, or send one without end.
     pub(crate) deadline: Pin<Box<Sleep>>,
     pub(crate) log: StreamLog,
+    /// Set when the response is handed to the connection of its caller.
+    pub(crate) guard: Option<StreamGuard>,
 }
 
 impl StreamedResponse {
--- a/crates/gateway/src/stream_log.rs
+++ b/crates/gateway/src/stream_log.rs
@@ -16,6 +16,8 @@
     OutOfTime,
     /// The caller closed its connection.
     CallerLeft,
+    /// The caller did not read the response while there was time.
+    NotRead,
 }
 
 impl EarlyEnd {
@@ -24,13 +26,14 @@
             Self::TargetBroke => "the target broke it off",
             Self::OutOfTime => "the time allowed for it was over",
             Self::CallerLeft => "the caller closed its connection",
+            Self::NotRead => "the caller did not read it in time",
         }
     }
 }
 
 /// Facts about a streamed response. The line of its request is written when its head is forwarded,
 /// so one that ends early has a line of its own. Dropped before any end, it records that the caller
-/// has left.
+/// has left or did not read the response.
 #[derive(Debug)]
 pub(crate) struct StreamLog {
     board: Arc<SteeringBoard>,
@@ -81,7 +84,7 @@
             return;
         }
         self.is_ended = true;
-        if cause != EarlyEnd::CallerLeft {
+        if matches!(cause, EarlyEnd::TargetBroke | EarlyEnd::OutOfTime) {
             let counts = &self.board.counts;
             counts.cut_streams.fetch_add(1, Ordering::Relaxed);
         }
@@ -105,6 +108,11 @@
 
 impl Drop for StreamLog {
     fn drop(&mut self) {
-        self.end_early(EarlyEnd::CallerLeft);
+        let lasted_ms = self.clock.mono_ns().ms_since(self.arrived);
+        self.end_early(if lasted_ms < self.allowed_ms {
+            EarlyEnd::CallerLeft
+        } else {
+            EarlyEnd::NotRead
+        });
     }
 }
--- a/crates/test-harness/src/hosts.rs
+++ b/crates/test-harness/src/hosts.rs
@@ -88,6 +88,12 @@
         addr(self.net, number, READINESS_PORT)
     }
 
+    /// Returns the address of a host for the exchange between hosts.
+    #[must_use]
+    pub fn peer_addr(&self, number: u8) -> SocketAddr {
+        addr(self.net, number, PEER_PORT)
+    }
+
     /// Starts a host; does nothing if it is running.
     ///
     /// # Errors
@@ -130,8 +136,8 @@
 impl HostProcess {
     /// Sends a signal; does nothing if the host was not started.
     pub fn signal(&mut self, signal: Signal) {
-        let id = self.child.as_ref().map(Child::id);
-        let pid = id
+        let pid = self
+            .id()
             .and_then(|id| i32::try_from(id).ok())
             .and_then(Pid::from_raw);
         if let Some(pid) = pid {
@@ -140,6 +146,12 @@
         }
     }
 
+    /// Returns the id of the process; `None` if it was not started.
+    #[must_use]
+    pub fn id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
     /// Returns the path of the file with the output of the process.
     #[must_use]
     pub fn log(&self) -> &Path {
