Test heads without end at the own interface

Cause: the report of bytes without end concerns each path that reads a response; the own interface had no test of it. Change: three cases, a test only.

--- a/crates/proxy/tests/path.rs
+++ b/crates/proxy/tests/path.rs
@@ -264,6 +264,32 @@
     host.stop().await;
 }
 
+/// Guards against a head without end that is read on for nobody, or holds its caller.
+#[parameterized(
+    status_line = { "HTTP/1.1 200 ", "x", "502" },
+    field = { "HTTP/1.1 200 OK\r\nx-pad: ", "x", "502" },
+    interim_responses = { "", "HTTP/1.1 103 Early Hints\r\n\r\n", "504" },
+)]
+#[test_macro(tokio::test(flavor = "multi_thread", worker_threads = 2))]
+async fn endless_head_is_cut_off(start: &'static str, piece: &'static str, status: &str) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let host = entry_host(listener.local_addr().unwrap()).await;
+    let target = tokio::spawn(async move {
+        let (mut stream, _) = listener.accept().await.unwrap();
+        read_head(&mut stream).await;
+        stream.write_all(start.as_bytes()).await.unwrap();
+        let pieces = piece.repeat(1_000);
+        while stream.write_all(pieces.as_bytes()).await.is_ok() {}
+    });
+    let request = b"GET /orders/stock HTTP/1.1\r\nhost: h\r\nconnection: close\r\n\
+        heatherhinge-deadline-ms: 500\r\n\r\n";
+    let got = round_trip(host.addr(), request).await;
+    assert!(got.lines().next().unwrap_or("").contains(status), "{got}");
+    let closed = tokio::time::timeout(Duration::from_secs(10), target).await;
+    assert!(closed.is_ok(), "the connection to the target must close");
+    host.stop().await;
+}
+
 /// Guards against smuggled, oversized, slow and malformed requests reaching a target.
 #[parameterized(
     two_lengths = { b"POST /orders/x HTTP/1.1\r\nhost: h\r\ncontent-length: 3\r\ncontent-length: 4\r\n\r\nabcd", "400" },
