Draw faulty responses in the soak

Cause: no seed let a target refuse what it had run, answer with a status that is none, or leave a response unfinished, and no check looked at the route's timeout. Change: seeds from 40,000 on draw these as further faults of targets, on routes with a timeout of 1 s, and check that a request ends within 0.5 s of it. Older seeds draw the same faults as before. The bodies of the stand-in's responses have a file of their own.

--- a/crates/test-harness/src/callers.rs
+++ b/crates/test-harness/src/callers.rs
@@ -14,7 +14,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
@@ -51,6 +51,8 @@
     pub at_most_once_path: String,
     /// Whether all idempotent requests have the same path, without their ids.
     pub is_idempotent_path_shared: bool,
+    /// Time within which a request must end, if that is checked.
+    pub longest: Option<Duration>,
     /// Records requests and outcomes.
     pub checker: Arc<InvariantChecker>,
 }
@@ -139,7 +141,10 @@
         self.checker.record_sent(id, is_at_most_once);
         let request = self.request(id, is_at_most_once)?;
         let exchange = self.exchange(&mut connection, request, id, is_at_most_once);
-        match timeout(RESPONSE_TIMEOUT, exchange).await {
+        let began = Instant::now();
+        let ended = timeout(RESPONSE_TIMEOUT, exchange).await;
+        self.check_time(id, began.elapsed());
+        match ended {
             Ok(RequestOutcome::Good) => self.checker.record_success(),
             Ok(RequestOutcome::NotRun) => self.checker.record_not_run(id),
             Ok(RequestOutcome::Failed) | Err(_) => {
@@ -151,6 +156,16 @@
         (connection.requests_left > 0 && !connection.sender.is_closed()).then_some(connection)
     }
 
+    fn check_time(&self, id: &str, took: Duration) {
+        let is_late = self.longest.is_some_and(|longest| took > longest);
+        if is_late && self.checker.are_timing_checks_active() {
+            self.checker.record_violation(
+                "a request ends within 0.5 s of its route's timeout",
+                format!("{id}: {} ms", took.as_millis()),
+            );
+        }
+    }
+
     fn request(&self, id: &str, is_at_most_once: bool) -> Option<Request<Full<Bytes>>> {
         let (method, path, bytes) = if is_at_most_once {
             ("POST", &self.at_most_once_path, BODY_BYTES)
--- a/crates/test-harness/src/deployment.rs
+++ b/crates/test-harness/src/deployment.rs
@@ -282,6 +282,7 @@
             idempotent_path: "/look/".to_owned(),
             at_most_once_path: "/book/".to_owned(),
             is_idempotent_path_shared: false,
+            longest: None,
             checker: Arc::clone(&self.checker),
         }
     }
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -17,6 +17,7 @@
 mod soak_run;
 mod store;
 mod target;
+mod target_body;
 
 pub use callers::{Callers, RequestOutcome};
 pub use deployment::{Deployment, DeploymentConfig};
--- a/crates/test-harness/src/soak.rs
+++ b/crates/test-harness/src/soak.rs
@@ -41,6 +41,16 @@
 const NOTICES_FROM_SEED: u64 = 30_000;
 /// Number of kinds of faults that these seeds draw from.
 const NOTICES_FAULT_KINDS: u32 = 24;
+/// First seed that also draws targets which refuse what they have run or leave responses unfinished,
+/// on routes whose timeout is shorter than the deadline of the callers.
+const RESPONSES_FROM_SEED: u64 = 40_000;
+/// Number of kinds of faults that these seeds draw from.
+const RESPONSES_FAULT_KINDS: u32 = 26;
+/// Timeout of the routes in these seeds, in milliseconds.
+const SHORT_ROUTE_TIMEOUT_MS: u64 = 1_000;
+/// Time after the route's timeout within which a request must end.
+const END_SLACK: Duration = Duration::from_millis(500);
+
 /// Results of a soak.
 #[derive(Debug)]
 pub struct SoakReport {
@@ -70,6 +80,7 @@
     let mut run = SoakRun {
         deployment: Deployment::start(program, dir, config).await?,
         fault_kinds: match seed {
+            RESPONSES_FROM_SEED.. => RESPONSES_FAULT_KINDS,
             NOTICES_FROM_SEED.. => NOTICES_FAULT_KINDS,
             SILENCE_FROM_SEED.. => SILENCE_FAULT_KINDS,
             ALL_FAULT_KINDS_FROM_SEED.. => ALL_FAULT_KINDS,
@@ -81,7 +92,12 @@
         faults: Vec::new(),
     };
     let stop = Arc::new(AtomicBool::new(false));
-    let callers = run.deployment.callers();
+    let mut callers = run.deployment.callers();
+    if seed >= RESPONSES_FROM_SEED {
+        run.deployment.set_route_timeout(SHORT_ROUTE_TIMEOUT_MS);
+        run.deployment.run_for(ORDER_TIMEOUT).await;
+        callers.longest = Some(Duration::from_millis(SHORT_ROUTE_TIMEOUT_MS) + END_SLACK);
+    }
     let callers_stop = Arc::clone(&stop);
     let calls =
         tokio::spawn(async move { callers.run(CALLERS, CALLER_PAUSE, seed, callers_stop).await });
--- a/crates/test-harness/src/soak_run.rs
+++ b/crates/test-harness/src/soak_run.rs
@@ -98,6 +98,7 @@
             18 => self.crash_and_refuse().await?,
             20 | 21 => self.start_leaving(),
             22 | 23 => self.set_busy(),
+            24 | 25 => self.inject_response_fault(),
             19 => {
                 let name = format!("new-{}", self.faults.len());
                 self.record(format!("configuration: route {name} added"));
@@ -149,6 +150,23 @@
         self.pending.push((at, UndoKind::Target(index)));
     }
 
+    /// Lets a target refuse what it has run, or leave responses unfinished.
+    fn inject_response_fault(&mut self) {
+        let index = self.pick_target();
+        let mode = [
+            TargetMode::RefuseAfterRun(503),
+            TargetMode::RefuseAfterRun(429),
+            TargetMode::RefuseAfterRun(408),
+            TargetMode::RefuseAfterRun(421),
+            TargetMode::RefuseAfterRun(600),
+            TargetMode::Stall,
+        ][self.rng.random_range(0..6)];
+        self.record(format!("target {index}: {mode:?}"));
+        self.deployment.targets[index].target.set_mode(mode);
+        let at = tokio::time::Instant::now() + Duration::from_secs(3);
+        self.pending.push((at, UndoKind::Target(index)));
+    }
+
     fn inject_target_proxy_fault(&mut self) {
         let index = self.pick_target();
         let proxy = Arc::clone(&self.deployment.targets[index].proxy);
--- a/crates/test-harness/src/target.rs
+++ b/crates/test-harness/src/target.rs
@@ -3,20 +3,18 @@
 use crate::invariant_checker::InvariantChecker;
 use crate::rate_limit_check::RateLimitCheck;
 use crate::store::Store;
+use crate::target_body::TargetBody;
 use bytes::Bytes;
 use http::{Request, Response, StatusCode};
-use http_body::{Body, Frame, SizeHint};
-use http_body_util::{BodyExt, Full};
+use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use hyper::service::service_fn;
 use hyper_util::rt::TokioIo;
 use serde_json::json;
 use std::io;
 use std::net::SocketAddr;
-use std::pin::Pin;
 use std::sync::atomic::{AtomicU32, AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
-use std::task::{Context, Poll};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
 use tokio::sync::watch;
@@ -37,6 +35,11 @@
     CutAnswers,
     /// Runs all requests and returns 500 for each third.
     Fail,
+    /// Runs all requests and returns this status, that of a refusal, for each third.
+    RefuseAfterRun(u16),
+    /// Sends a part of the body of each third response, without its length, and keeps the connection
+    /// open.
+    Stall,
     /// Runs all requests and never responds to each third.
     Hang,
     /// Rejects every request with 503 before it runs.
@@ -309,7 +312,12 @@
                 return Err(io::Error::other("response lost on purpose"));
             }
             TargetMode::Fail if is_third => (StatusCode::INTERNAL_SERVER_ERROR, content.into()),
+            TargetMode::RefuseAfterRun(status) if is_third => {
+                let status = StatusCode::from_u16(status).map_err(io::Error::other)?;
+                (status, content.into())
+            }
             TargetMode::CutAnswers if is_third => (StatusCode::OK, TargetBody::truncated(&content)),
+            TargetMode::Stall if is_third => (StatusCode::OK, TargetBody::stalled(&content)),
             _ => (StatusCode::OK, content.into()),
         };
         let mut response = Response::builder()
@@ -438,55 +446,3 @@
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
-
-/// A response body that may end before its declared length.
-#[derive(Debug)]
-struct TargetBody {
-    content: Full<Bytes>,
-    /// Declared bytes that have not been sent yet.
-    unsent_bytes: u64,
-}
-
-impl TargetBody {
-    fn truncated(content: &str) -> Self {
-        let half = content.get(..content.len() / 2).unwrap_or_default();
-        Self {
-            content: Full::from(half.to_owned()),
-            unsent_bytes: content.len() as u64,
-        }
-    }
-}
-
-impl From<String> for TargetBody {
-    fn from(content: String) -> Self {
-        Self {
-            unsent_bytes: content.len() as u64,
-            content: Full::from(content),
-        }
-    }
-}
-
-impl Body for TargetBody {
-    type Data = Bytes;
-    type Error = io::Error;
-
-    fn poll_frame(
-        mut self: Pin<&mut Self>,
-        cx: &mut Context<'_>,
-    ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let frame = Pin::new(&mut self.content).poll_frame(cx);
-        frame.map(|frame| match frame {
-            Some(Ok(frame)) => {
-                let bytes = frame.data_ref().map_or(0, Bytes::len) as u64;
-                self.unsent_bytes -= bytes.min(self.unsent_bytes);
-                Some(Ok(frame))
-            }
-            _ if self.unsent_bytes > 0 => Some(Err(io::Error::other("response body truncated"))),
-            _ => None,
-        })
-    }
-
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::with_exact(self.unsent_bytes)
-    }
-}
