Let the store's stand-in return from an older copy

Cause: the stand-in lost nothing that it had acknowledged. Change: it states its era, goes back to a copy of any age, answers 410 to versions that it does not have, says which rows are lost, writes them again unless they were written since, and counts calls. Targets can leave without draining, or drain without registering again.

--- a/crates/test-harness/src/deployment.rs
+++ b/crates/test-harness/src/deployment.rs
@@ -220,6 +220,20 @@
         }
     }
 
+    /// Removes the registration of a target, which serves on.
+    pub fn unregister_target(&mut self, index: usize) {
+        let proxied = &mut self.targets[index];
+        proxied.is_registered = false;
+        self.store.remove("servers", &proxied.target.spec().id);
+    }
+
+    /// Registers a target as draining, and not again.
+    pub fn drain_target(&mut self, index: usize) {
+        let proxied = &mut self.targets[index];
+        proxied.is_registered = false;
+        proxied.target.start_draining(&self.store);
+    }
+
     /// Writes registrations at each heartbeat for the given time.
     pub async fn run_for(&self, duration: Duration) {
         let until = Instant::now() + duration;
--- a/crates/test-harness/src/lib.rs
+++ b/crates/test-harness/src/lib.rs
@@ -25,5 +25,5 @@
 pub use hosts::{HostProcess, Hosts};
 pub use invariant_checker::{InvariantChecker, Violation};
 pub use soak::{SoakReport, soak};
-pub use store::{Store, StoreMode};
+pub use store::{LostRow, Store, StoreMode};
 pub use target::{Target, TargetMode, TargetSpec};
--- a/crates/test-harness/src/store.rs
+++ b/crates/test-harness/src/store.rs
@@ -11,9 +11,10 @@
 use hyper_util::rt::TokioIo;
 use serde::Deserialize;
 use serde_json::{Value, json};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::io;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
 use tokio::net::TcpListener;
@@ -47,6 +48,32 @@
     /// Changes up to this version were deleted.
     history_from: u64,
     mode: StoreMode,
+    /// Number of returns from a copy, which all responses state; `None` if they do not.
+    era: Option<u64>,
+    /// All changes with their times, from which copies are made.
+    journal: Vec<JournalEntry>,
+}
+
+/// A change as it was made.
+#[derive(Clone, Debug)]
+struct JournalEntry {
+    at: Instant,
+    version: u64,
+    key: RowKey,
+    value: Option<String>,
+}
+
+/// A row as it was before the store returned from a copy that shows it otherwise.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct LostRow {
+    /// Table of the row.
+    pub table: String,
+    /// Key of the row.
+    pub key: String,
+    /// Value in Base64; `None` if the row had been removed.
+    value: Option<String>,
+    /// Version of the copy.
+    copied_at: u64,
 }
 
 /// A running store that listens on a loopback address.
@@ -56,6 +83,7 @@
     rows: Mutex<Rows>,
     changed: watch::Sender<u64>,
     started: Instant,
+    calls: AtomicU64,
 }
 
 #[derive(Debug, Deserialize)]
@@ -88,6 +116,14 @@
     key: String,
 }
 
+impl LostRow {
+    /// Returns whether the operator or a target wrote the row, which write it again.
+    #[must_use]
+    pub fn is_foreign(&self) -> bool {
+        ["op", "servers"].contains(&self.table.as_str())
+    }
+}
+
 impl Store {
     /// Binds an address and serves requests until the process ends.
     ///
@@ -104,9 +140,12 @@
                 changes: Vec::new(),
                 history_from: 0,
                 mode: StoreMode::Serve,
+                era: None,
+                journal: Vec::new(),
             }),
             changed: watch::channel(1).0,
             started: Instant::now(),
+            calls: AtomicU64::new(0),
         });
         tokio::spawn(Arc::clone(&store).accept(listener));
         Ok(store)
@@ -146,6 +185,12 @@
         BASE64.decode(value).ok()
     }
 
+    /// Returns how many calls have arrived.
+    #[must_use]
+    pub fn call_count(&self) -> u64 {
+        self.calls.load(Ordering::Relaxed)
+    }
+
     /// Deletes the history of changes. Reads of the feed from an older version then fail with 410, so
     /// that hosts read whole tables.
     pub fn forget_history(&self) {
@@ -154,6 +199,33 @@
         rows.changes.clear();
     }
 
+    /// Makes all later responses state the era.
+    pub fn state_era(&self) {
+        self.lock().era.get_or_insert(1);
+    }
+
+    /// Goes back to a copy of this age and begins a new era. Returns the rows that the copy shows
+    /// otherwise, as they were.
+    pub fn return_from_copy(&self, age: Duration) -> Vec<LostRow> {
+        let mut rows = self.lock();
+        let lost = rows.go_back(age);
+        let version = rows.version;
+        drop(rows);
+        self.changed.send_replace(version);
+        lost
+    }
+
+    /// Writes a lost row again, unless it was written since the return.
+    pub fn write_again(&self, lost: &LostRow) {
+        let key = (lost.table.clone(), lost.key.clone());
+        let is_written = |(version, of, _): &(u64, RowKey, Option<String>)| {
+            *version > lost.copied_at && *of == key
+        };
+        if !self.lock().changes.iter().any(is_written) {
+            self.write(&lost.table, &lost.key, lost.value.clone());
+        }
+    }
+
     fn write(&self, table: &str, key: &str, value: Option<String>) {
         let mut rows = self.lock();
         rows.version += 1;
@@ -182,10 +254,12 @@
     ) -> Result<Response<Full<Bytes>>, io::Error> {
         let (head, body) = request.into_parts();
         let body = body.collect().await.map_err(io::Error::other)?.to_bytes();
+        self.calls.fetch_add(1, Ordering::Relaxed);
         let mode = self.lock().mode;
         match mode {
             StoreMode::Refuse => {
-                return Ok(json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({})));
+                let response = json_response(StatusCode::SERVICE_UNAVAILABLE, &json!({}));
+                return Ok(self.with_era(response));
             }
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
@@ -201,7 +275,15 @@
         if mode == StoreMode::LoseAnswers && head.method == Method::POST {
             return Err(io::Error::other("response lost on purpose"));
         }
-        Ok(response)
+        Ok(self.with_era(response))
+    }
+
+    fn with_era(&self, mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
+        let era = self.lock().era;
+        if let Some(era) = era {
+            response.headers_mut().insert("store-era", era.into());
+        }
+        response
     }
 
     fn now(&self) -> String {
@@ -234,7 +316,7 @@
         loop {
             let (rows, version) = {
                 let rows = self.lock();
-                if after < rows.history_from {
+                if after < rows.history_from || after > rows.version {
                     return json_response(StatusCode::GONE, &json!({}));
                 }
                 (rows.changes_after(&table, after), rows.version)
@@ -289,9 +371,54 @@
                 self.rows.remove(&key);
             }
         }
+        self.journal.push(JournalEntry {
+            at: Instant::now(),
+            version,
+            key: key.clone(),
+            value: value.clone(),
+        });
         self.changes.push((version, key, value));
     }
 
+    /// Undoes all changes of the last `age`, and returns the rows that differ from before.
+    fn go_back(&mut self, age: Duration) -> Vec<LostRow> {
+        let now = Instant::now();
+        let kept = self
+            .journal
+            .partition_point(|entry| now.duration_since(entry.at) >= age);
+        let lost = self.journal.split_off(kept);
+        self.version = self.journal.last().map_or(1, |entry| entry.version);
+        self.changes
+            .retain(|(version, ..)| *version <= self.version);
+        self.history_from = self.history_from.min(self.version);
+        let before = std::mem::take(&mut self.rows);
+        for entry in &self.journal {
+            match &entry.value {
+                Some(value) => {
+                    let row = (entry.version, value.clone());
+                    self.rows.insert(entry.key.clone(), row);
+                }
+                None => {
+                    self.rows.remove(&entry.key);
+                }
+            }
+        }
+        self.era = self.era.map(|era| era + 1);
+        let keys: BTreeSet<RowKey> = lost.into_iter().map(|entry| entry.key).collect();
+        let copied_at = self.version;
+        let lost_row = |(table, key): RowKey| {
+            let row = before.get(&(table.clone(), key.clone()));
+            let value = row.map(|(_, value)| value.clone());
+            LostRow {
+                table,
+                key,
+                value,
+                copied_at,
+            }
+        };
+        keys.into_iter().map(lost_row).collect()
+    }
+
     /// Returns the latest change of each row of a table after a version, in order of versions.
     fn changes_after(&self, table: &str, after: u64) -> Vec<Value> {
         let mut newest: BTreeMap<&str, (u64, &Option<String>)> = BTreeMap::new();
