Draw returns of the store in the soak

Cause: no seed let the store lose what it had acknowledged. Change: seeds from 50,000 on also draw returns from a copy up to 6 s old, after an absence of up to 2 s; lost rows of the operator and of targets are written again within 2 s, each in its own time.

--- a/crates/test-harness/src/soak.rs
+++ b/crates/test-harness/src/soak.rs
@@ -46,7 +46,11 @@
 const RESPONSES_FROM_SEED: u64 = 40_000;
 /// Number of kinds of faults that these seeds draw from.
 const RESPONSES_FAULT_KINDS: u32 = 26;
-/// Timeout of the routes in these seeds, in milliseconds.
+/// First seed that also draws returns of the store from an older copy.
+const RETURNS_FROM_SEED: u64 = 50_000;
+/// Number of kinds of faults that these seeds draw from.
+const RETURNS_FAULT_KINDS: u32 = 28;
+/// Timeout of the routes from [`RESPONSES_FROM_SEED`] on, in milliseconds.
 const SHORT_ROUTE_TIMEOUT_MS: u64 = 1_000;
 /// Time after the route's timeout within which a request must end.
 const END_SLACK: Duration = Duration::from_millis(500);
@@ -80,6 +84,7 @@
     let mut run = SoakRun {
         deployment: Deployment::start(program, dir, config).await?,
         fault_kinds: match seed {
+            RETURNS_FROM_SEED.. => RETURNS_FAULT_KINDS,
             RESPONSES_FROM_SEED.. => RESPONSES_FAULT_KINDS,
             NOTICES_FROM_SEED.. => NOTICES_FAULT_KINDS,
             SILENCE_FROM_SEED.. => SILENCE_FAULT_KINDS,
@@ -93,6 +98,9 @@
     };
     let stop = Arc::new(AtomicBool::new(false));
     let mut callers = run.deployment.callers();
+    if seed >= RETURNS_FROM_SEED {
+        run.deployment.store.state_era();
+    }
     if seed >= RESPONSES_FROM_SEED {
         run.deployment.set_route_timeout(SHORT_ROUTE_TIMEOUT_MS);
         run.deployment.run_for(ORDER_TIMEOUT).await;
--- a/crates/test-harness/src/soak_run.rs
+++ b/crates/test-harness/src/soak_run.rs
@@ -2,9 +2,9 @@
 
 use crate::deployment::Deployment;
 use crate::fault_proxy::FaultProxyMode;
-use crate::store::StoreMode;
+use crate::store::{LostRow, StoreMode};
 use crate::target::TargetMode;
-use rand::RngExt;
+use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rustix::process::Signal;
 use std::sync::Arc;
@@ -28,6 +28,8 @@
     "1e300",
     "Sat, 05 Dec 2026",
 ];
+/// Longest time after a return of the store until a lost row is written again, in milliseconds.
+const MAX_REWRITE_MS: u64 = 2_000;
 /// Rate limits that targets name, in requests per second.
 const RATE_LIMITS_PER_S: [f64; 4] = [0.5, 1.0, 3.0, 10.0];
 
@@ -99,6 +101,7 @@
             20 | 21 => self.start_leaving(),
             22 | 23 => self.set_busy(),
             24 | 25 => self.inject_response_fault(),
+            26 | 27 => self.return_store(),
             19 => {
                 let name = format!("new-{}", self.faults.len());
                 self.record(format!("configuration: route {name} added"));
@@ -277,6 +280,37 @@
         self.schedule_undo(UndoKind::Store, 500..4_000);
     }
 
+    /// Lets the store be away and return from an older copy. Operator and targets write again what is
+    /// lost, each row in its own time.
+    fn return_store(&mut self) {
+        let away = Duration::from_millis(self.rng.random_range(100..2_000));
+        let age = Duration::from_millis(self.rng.random_range(500..6_000));
+        self.record(format!(
+            "store: away for {} ms, returns from a copy {} ms old",
+            away.as_millis(),
+            age.as_millis()
+        ));
+        self.deployment
+            .checker
+            .suspend_timing_checks(away + RECOVERY_TIME);
+        let store = Arc::clone(&self.deployment.store);
+        let seed = self.rng.random();
+        tokio::spawn(async move {
+            let mut rng = Pcg64Mcg::seed_from_u64(seed);
+            store.set_mode(StoreMode::Refuse);
+            tokio::time::sleep(away).await;
+            let lost = store.return_from_copy(away + age);
+            store.set_mode(StoreMode::Serve);
+            for row in lost.into_iter().filter(LostRow::is_foreign) {
+                let (store, delay_ms) = (Arc::clone(&store), rng.random_range(0..MAX_REWRITE_MS));
+                tokio::spawn(async move {
+                    tokio::time::sleep(Duration::from_millis(delay_ms)).await;
+                    store.write_again(&row);
+                });
+            }
+        });
+    }
+
     fn inject_store_proxy_fault(&mut self) {
         let proxy = Arc::clone(&self.deployment.store_proxy);
         let mode = [
