Store what became of versions

Callers saw: after a loss of power of all hosts beside a newer order, a version that had been rolled back got its share of the traffic again. Cause: the verdict was kept in the memory of the hosts, and the report in the store is that of the newest order only. Change: the first host by duty of a service stores the verdicts of moves that ended with a final report, one row a service, and again when the store has returned from an older copy. A host that reads the orders itself at its start reads them, too, and is not ready before it has them. A verdict that is known ends a move of the same order at once. One move and the control of all moves have files of their own now. Why it works: any host that can serve after a loss of power has read the store or has heard from one that did. A start of a host that hears of no other makes three calls in place of two, which a test of the scheduler now expects.

--- a/crates/gateway/src/control_loop.rs
+++ b/crates/gateway/src/control_loop.rs
@@ -65,6 +65,9 @@
     orders: OrderRegistry,
     targets: TargetRegistry,
     moves: MoveExecutor,
+    /// Whether the verdicts on versions are being read, without which the host could send to a version
+    /// that was rolled back.
+    awaits_verdicts: bool,
     crashes: CrashWatch,
     announcement: Announcement,
     orders_catch_up: OrdersCatchUp,
@@ -90,6 +93,7 @@
             orders: OrderRegistry::new(),
             targets: TargetRegistry::default(),
             moves: MoveExecutor::default(),
+            awaits_verdicts: false,
             crashes: CrashWatch::default(),
             announcement: Announcement::new(parts.incarnation, started),
             orders_catch_up: OrdersCatchUp::default(),
@@ -188,6 +192,10 @@
                 self.moves
                     .handle_report_written(&service, to, state, result, now);
             }
+            GatewayEvent::VerdictsRead(result) => self.handle_verdicts_read(result),
+            GatewayEvent::VerdictsWritten { service, result } => {
+                self.moves.handle_verdicts_written(&service, result);
+            }
             GatewayEvent::Crashed { digest, target_key } => {
                 self.crashes.count(digest, target_key, self.now());
                 self.publish_quarantined();
@@ -240,7 +248,8 @@
             return;
         }
         let has_waited = now.ms_since(self.started) >= START_WAIT_MS;
-        if self.targets.len() > 0 || has_waited {
+        let is_complete = self.targets.len() > 0 && !self.awaits_verdicts;
+        if is_complete || has_waited {
             board.set_stage(HostStage::Ready);
             // Announces the new stage to the other hosts, and lets the directory list this host.
             self.sync(now);
--- a/crates/gateway/src/control_loop/tables.rs
+++ b/crates/gateway/src/control_loop/tables.rs
@@ -6,7 +6,7 @@
 use crate::store_call_scheduler::{StoreCall, StoreChange, StoreFacts, store_readers};
 use crate::target_registry::used_ids;
 use crate::{Platform, StoreError, StoredTable};
-use heatherhinge_steering::{EpochStep, StoreEpoch, TableUpdate, TargetInputs};
+use heatherhinge_steering::{EpochStep, PastMove, StoreEpoch, TableUpdate, TargetInputs};
 use heatherhinge_types::{Code, MonoNs, Name};
 use rand::RngExt;
 use std::sync::Arc;
@@ -164,6 +164,23 @@
         self.parts.writers.targets.publish(table);
     }
 
+    pub(super) fn handle_verdicts_read(&mut self, result: Result<Vec<PastMove>, StoreError>) {
+        let now = self.now();
+        match result {
+            Ok(verdicts) => {
+                self.awaits_verdicts = false;
+                if self.moves.handle_verdicts_read(&verdicts, now) {
+                    self.publish_targets();
+                }
+                self.check_ready(now);
+            }
+            Err(error) => {
+                tracing::info!("moves: reading the verdicts failed; trying again: {error}");
+                self.store_call_scheduler.verdicts_failed(now);
+            }
+        }
+    }
+
     pub(super) fn read_store(&mut self, now: MonoNs) {
         let settings = &self.parts.settings;
         let fleet = self.parts.board.fleet.read();
@@ -190,6 +207,10 @@
                 } => io.read(table, after, wait_ms),
                 StoreCall::Register => io.register(settings.host.clone(), settings.peer_addr),
                 StoreCall::ReadHosts => io.read_hosts(),
+                StoreCall::ReadVerdicts => {
+                    self.awaits_verdicts = true;
+                    io.read_verdicts();
+                }
             }
         }
     }
--- a/crates/gateway/src/events.rs
+++ b/crates/gateway/src/events.rs
@@ -2,7 +2,7 @@
 
 use crate::fleet_service::SyncResponse;
 use crate::{GatewaySettings, StoreError, StoredTable, WriteOutcome};
-use heatherhinge_steering::{HostState, MoveReport, ReportedState, TableUpdate};
+use heatherhinge_steering::{HostState, MoveReport, PastMove, ReportedState, TableUpdate};
 use heatherhinge_types::{MonoNs, Name, StoreVersion};
 use std::fmt;
 use std::net::SocketAddr;
@@ -71,6 +71,13 @@
         state: ReportedState,
         result: Result<WriteOutcome, StoreError>,
     },
+    /// The verdicts on versions were read.
+    VerdictsRead(Result<Vec<PastMove>, StoreError>),
+    /// Storing the verdicts on the versions of a service has ended.
+    VerdictsWritten {
+        service: Name,
+        result: Result<(), StoreError>,
+    },
     /// A target crashed while it ran a request.
     Crashed {
         /// Digest of the request.
--- a/crates/gateway/src/io.rs
+++ b/crates/gateway/src/io.rs
@@ -3,7 +3,7 @@
 use crate::events::{EventSender, GatewayEvent};
 use crate::fleet_service::{FleetClient, ORDERS_NOT_WANTED, SyncRequest};
 use crate::{Platform, StoredTable};
-use heatherhinge_steering::{ReportedState, SteeringBoard};
+use heatherhinge_steering::{PastMove, ReportedState, SteeringBoard};
 use heatherhinge_types::{MonoNs, Name, StoreVersion};
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -87,6 +87,24 @@
         });
     }
 
+    pub(crate) fn read_verdicts(&self) {
+        self.count_store_call();
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let result = platform.read_verdicts().await;
+            Some(GatewayEvent::VerdictsRead(result))
+        });
+    }
+
+    pub(crate) fn write_verdicts(&self, service: Name, verdicts: Vec<PastMove>) {
+        self.count_store_call();
+        let platform = Arc::clone(&self.platform);
+        self.spawn(async move {
+            let result = platform.write_verdicts(&service, &verdicts).await;
+            Some(GatewayEvent::VerdictsWritten { service, result })
+        });
+    }
+
     pub(crate) fn read_report(&self, service: Name) {
         self.count_store_call();
         let platform = Arc::clone(&self.platform);
--- a/crates/gateway/src/move_executor.rs
+++ b/crates/gateway/src/move_executor.rs
@@ -85,6 +85,10 @@
                     );
                     io.write_report(service, to, state, expected_version);
                 }
+                MoveEffect::WriteVerdicts { service, verdicts } => {
+                    tracing::info!(%service, verdicts = verdicts.len(), "moves: storing verdicts");
+                    io.write_verdicts(service, verdicts);
+                }
                 MoveEffect::LogStage {
                     service,
                     stage,
@@ -95,6 +99,28 @@
         }
     }
 
+    /// Handles the verdicts that the store holds; returns whether the routing snapshot must be built
+    /// again.
+    pub(crate) fn handle_verdicts_read(&mut self, verdicts: &[PastMove], now: MonoNs) -> bool {
+        let learned = self.0.learn_stored(verdicts, now);
+        learned
+            .iter()
+            .for_each(|past| log_past_move(past, "the store holds it"));
+        !learned.is_empty()
+    }
+
+    /// Handles the result of storing verdicts.
+    pub(crate) fn handle_verdicts_written(
+        &mut self,
+        service: &Name,
+        result: Result<(), StoreError>,
+    ) {
+        if let Err(error) = result {
+            tracing::info!(%service, "moves: storing verdicts failed; trying again: {error}");
+            self.0.verdicts_not_stored(service);
+        }
+    }
+
     /// Handles the result of reading a report.
     pub(crate) fn handle_report_read(
         &mut self,
--- a/crates/gateway/src/platform.rs
+++ b/crates/gateway/src/platform.rs
@@ -1,7 +1,7 @@
 //! Defines the interface between an entry host and the platform that it runs on.
 
 use heatherhinge_orders::{Order, OrderKey, TargetEntry};
-use heatherhinge_steering::{MoveReport, ReportedState, TableUpdate};
+use heatherhinge_steering::{MoveReport, PastMove, ReportedState, TableUpdate};
 use heatherhinge_types::{Name, StoreVersion};
 use http::HeaderName;
 use std::fmt;
@@ -153,6 +153,16 @@
         expected_version: StoreVersion,
     ) -> impl Future<Output = Result<WriteOutcome, StoreError>> + Send;
 
+    /// Stores what became of versions of a service, in place of what was stored of it before.
+    fn write_verdicts(
+        &self,
+        service: &Name,
+        verdicts: &[PastMove],
+    ) -> impl Future<Output = Result<(), StoreError>> + Send;
+
+    /// Returns the stored verdicts of all services.
+    fn read_verdicts(&self) -> impl Future<Output = Result<Vec<PastMove>, StoreError>> + Send;
+
     /// Returns the kind and subject of the order with a row key; `None` for an unknown key.
     fn order_key(&self, key: &Name) -> Option<OrderKey>;
 
--- a/crates/gateway/src/store_call_scheduler.rs
+++ b/crates/gateway/src/store_call_scheduler.rs
@@ -46,6 +46,8 @@
 const MAX_FOLLOWER_BACKOFF_MS: u64 = 2_000;
 /// Time between reads of the registered hosts while no other host is live, in milliseconds.
 const HOSTS_READ_INTERVAL_MS: u64 = 3_000;
+/// Pause after a failed read of the verdicts, in milliseconds.
+const VERDICTS_RETRY_MS: u64 = 500;
 /// Pause after a failed attempt to register this host, in milliseconds.
 const REGISTER_RETRY_MS: u64 = 1_000;
 
@@ -100,6 +102,8 @@
     Register,
     /// Read which hosts are registered.
     ReadHosts,
+    /// Read what became of versions.
+    ReadVerdicts,
 }
 
 /// How a call changed the store's availability as this host sees it.
@@ -207,6 +211,8 @@
     next_hosts_read: MonoNs,
     next_register: MonoNs,
     is_registered: bool,
+    /// When the verdicts are read again after a failure.
+    verdicts_retry_at: Option<MonoNs>,
     is_unavailable: bool,
     max_backoff_ms: u64,
 }
@@ -226,6 +232,7 @@
             next_hosts_read: now,
             next_register: now,
             is_registered: false,
+            verdicts_retry_at: None,
             is_unavailable: false,
             max_backoff_ms: MAX_BACKOFF_MS,
         };
@@ -278,8 +285,31 @@
         self.next_register = now.plus_ms(REGISTER_RETRY_MS);
     }
 
-    /// Returns the calls to make now and records them as started.
+    /// Records that reading the verdicts failed.
+    pub(crate) fn verdicts_failed(&mut self, now: MonoNs) {
+        self.verdicts_retry_at = Some(now.plus_ms(VERDICTS_RETRY_MS));
+    }
+
+    /// Returns the calls to make now and records them as started. A host that reads the orders because
+    /// no other host has sent them reads the verdicts, too: all hosts may have lost their processes.
     pub(crate) fn next(&mut self, facts: &StoreFacts, now: MonoNs) -> Vec<StoreCall> {
+        let mut calls = self.table_calls(facts, now);
+        let reads_orders = calls.iter().any(|call| {
+            let StoreCall::Read { table, .. } = call else {
+                return false;
+            };
+            *table == StoredTable::Orders
+        });
+        let is_first_read = reads_orders && facts.orders_version.is_none();
+        let retries = self.verdicts_retry_at.is_some_and(|at| now >= at);
+        if is_first_read || retries {
+            self.verdicts_retry_at = None;
+            calls.push(StoreCall::ReadVerdicts);
+        }
+        calls
+    }
+
+    fn table_calls(&mut self, facts: &StoreFacts, now: MonoNs) -> Vec<StoreCall> {
         let mut calls = Vec::new();
         if now < self.regular_calls_from {
             if now >= self.initial_reads_from {
--- a/crates/gateway/tests/unit/store_call_scheduler.rs
+++ b/crates/gateway/tests/unit/store_call_scheduler.rs
@@ -113,7 +113,9 @@
     let calls = scheduler.next(&empty, now.plus_ms(120));
     assert_eq!(reads(&calls, StoredTable::Targets), 1);
     assert_eq!(reads(&calls, StoredTable::Orders), 1);
-    assert_eq!(calls.len(), 2);
+    // All hosts may have lost what became of versions.
+    assert!(calls.contains(&StoreCall::ReadVerdicts));
+    assert_eq!(calls.len(), 3);
     scheduler.record_end(StoredTable::Targets, None, now.plus_ms(150));
     scheduler.record_end(StoredTable::Orders, None, now.plus_ms(150));
     let full = StoreFacts {
--- a/crates/steering/src/move_control.rs
+++ b/crates/steering/src/move_control.rs
@@ -4,31 +4,17 @@
 //! move back. One host, chosen by rendezvous hashing, advances it; the others take over when they
 //! see no progress. The report in the store is written conditionally and is authoritative.
 
+use crate::ordered_move::Move;
+use crate::stored_verdicts::StoredVerdicts;
 use crate::{
-    FleetView, MoveEvidence, MoveProgress, MoveStage, MoveTracker, PastMove, PastMoves, Verdict,
-    VersionFate, duty_rank, judge,
+    FleetView, MoveEvidence, MoveProgress, MoveStage, MoveTracker, PastMove, PastMoves,
+    VersionFate, duty_rank,
 };
 use heatherhinge_orders::MoveOrder;
 use heatherhinge_types::{MonoNs, Name, StoreVersion};
 use std::collections::BTreeMap;
 use std::sync::Arc;
 
-/// Length of the canary stage, in percent of the move's duration.
-const CANARY_PERCENT: u64 = 38;
-/// Time until all requests go to a good version, in percent of the move's duration.
-const RAMP_PERCENT: u64 = 60;
-/// Shortest time in the shift stage before a move may be reported as completed, in milliseconds.
-/// In this time every host learns of the shift and ends its requests at the old version.
-const SHIFT_MIN_MS: u64 = 1_300;
-/// Time before the end of the move at which it is reported even with requests at the old version,
-/// or rolled back if its version is not proven, in milliseconds. Reading and writing the report takes 0.4 s, and the hosts responsible for it
-/// may have stopped.
-const REPORT_MARGIN_MS: u64 = 2_000;
-/// Time after which the next host by duty rank takes over, in milliseconds.
-const TAKEOVER_DELAY_MS: u64 = 700;
-/// Pause between store calls for a report, in milliseconds.
-const STORE_CALL_PAUSE_MS: u64 = 400;
-
 /// State of a move in the report for operators.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum ReportedState {
@@ -67,6 +53,13 @@
         /// Version that the row must have; none if there must be no row.
         expected_version: StoreVersion,
     },
+    /// Store what became of the versions of a service, so that it outlasts the hosts' processes.
+    WriteVerdicts {
+        /// The service.
+        service: Name,
+        /// Its versions whose moves ended with a final report.
+        verdicts: Vec<PastMove>,
+    },
     /// Log that a move has entered a stage.
     LogStage {
         /// Service that moves.
@@ -80,24 +73,6 @@
     },
 }
 
-/// Progress of one move at this host.
-#[derive(Debug)]
-struct Move {
-    tracker: Arc<MoveTracker>,
-    /// Version of the store at which the order was written, which identifies the move for other
-    /// hosts. It rises when the same order is written again.
-    order_version: StoreVersion,
-    started: MonoNs,
-    stage_started: MonoNs,
-    /// Report in the store: `None` if not known, `Some(None)` if there is none.
-    report: Option<Option<MoveReport>>,
-    /// Whether the store is known to have held a final report, which no verdict overrides.
-    is_final: bool,
-    /// Whether the store may have lost the final report by a return from an older copy.
-    must_report_again: bool,
-    next_store_call: MonoNs,
-}
-
 /// All moves that operators have ordered, by service.
 #[derive(Debug, Default)]
 pub struct MoveControl {
@@ -105,6 +80,7 @@
     past: PastMoves,
     /// Epoch of the store.
     epoch: u64,
+    stored_verdicts: StoredVerdicts,
 }
 
 impl MoveControl {
@@ -151,6 +127,7 @@
     /// final reports that this host knows.
     pub fn begin_epoch(&mut self, epoch: u64) -> usize {
         self.epoch = epoch;
+        self.stored_verdicts.forget_all();
         for known in self.moves.values_mut() {
             known.report = None;
             known.must_report_again = known.is_final;
@@ -165,24 +142,65 @@
             .iter()
             .filter(|past| past.fate == VersionFate::RolledBack)
         {
-            self.roll_back_restored(past, now);
+            self.roll_back_known(past, now);
         }
         let is_new = |past: &&PastMove| self.past.record((*past).clone());
         told.iter().filter(is_new).cloned().collect()
     }
 
-    /// Ends a move whose order came from an older copy of the store, if another host knows that its
-    /// version was rolled back. Rows of a copy keep their numbers.
-    fn roll_back_restored(&mut self, past: &PastMove, now: MonoNs) {
+    /// Records the verdicts that the store holds; returns those that are new to this host.
+    pub fn learn_stored(&mut self, verdicts: &[PastMove], now: MonoNs) -> Vec<PastMove> {
+        self.stored_verdicts.set(verdicts);
+        self.learn(verdicts, now)
+    }
+
+    /// Records that the verdicts of a service could not be stored, or may not have been.
+    pub fn verdicts_not_stored(&mut self, service: &Name) {
+        self.stored_verdicts.forget(service);
+    }
+
+    /// Returns the versions of a service whose moves ended with a final report.
+    fn verdicts(&self, service: &Name) -> Vec<PastMove> {
+        let current = self.moves.get(service).filter(|known| known.is_final);
+        let current = current.map(Move::past);
+        let is_other = |past: &&PastMove| {
+            current
+                .as_ref()
+                .is_none_or(|current| current.version != past.version)
+        };
+        let past = self.past.verdicts(service).filter(is_other).cloned();
+        let mut verdicts: Vec<PastMove> = past.chain(current.clone()).collect();
+        verdicts.sort_by(|one, other| one.version.cmp(&other.version));
+        verdicts
+    }
+
+    /// Returns the verdicts that this host has to store: those of services whose duty it has.
+    fn verdict_writes(&mut self, own: &Name, fleet: &FleetView, now: MonoNs) -> Vec<MoveEffect> {
+        let mut services = self.past.services();
+        services.extend(self.moves.keys().cloned());
+        services.retain(|service| duty_rank(service, own, fleet) == Some(0));
+        let known = services.into_iter().map(|service| {
+            let verdicts = self.verdicts(&service);
+            (service, verdicts)
+        });
+        let known: Vec<_> = known.collect();
+        let writes = self.stored_verdicts.writes(known, now);
+        let effect = |(service, verdicts)| MoveEffect::WriteVerdicts { service, verdicts };
+        writes.into_iter().map(effect).collect()
+    }
+
+    /// Ends a move if another host, or the store, knows that its version was rolled back. The order may
+    /// come from an older copy of the store, whose rows keep their numbers.
+    fn roll_back_known(&mut self, past: &PastMove, now: MonoNs) {
         let Some(known) = self.moves.get_mut(&past.service) else {
             return;
         };
         let is_same_order = known.tracker.order.to == past.version
             && known.order_version.number() == past.order_version.number()
-            && known.order_version.epoch() > past.order_version.epoch();
+            && known.order_version.epoch() >= past.order_version.epoch();
         if is_same_order && !known.is_final {
             known.finish(MoveStage::RolledBack, now);
-            known.must_report_again = true;
+            known.must_report_again = !known.order_version.is_same_epoch(past.order_version);
         }
     }
 
@@ -251,235 +269,7 @@
         for (service, known) in &mut self.moves {
             known.step(service, own, fleet, self.epoch, now, &mut effects);
         }
+        effects.extend(self.verdict_writes(own, fleet, now));
         effects
     }
 }
-
-impl Move {
-    /// Returns whether a report is one of this move. Versions of two epochs tell nothing of that.
-    fn is_for_order(&self, report: &MoveReport) -> bool {
-        report.to == self.tracker.order.to
-            && report.version.is_same_epoch(self.order_version)
-            && report.version > self.order_version
-    }
-
-    /// Returns whether the store is known to hold the report for the current stage.
-    fn is_reported(&self) -> bool {
-        if self.is_final {
-            return !self.must_report_again;
-        }
-        let Some(Some(report)) = &self.report else {
-            return false;
-        };
-        let wanted = match self.tracker.stage() {
-            MoveStage::Canary | MoveStage::Ramp => ReportedState::Running,
-            MoveStage::Shift => return false,
-            MoveStage::Completed => ReportedState::Completed,
-            MoveStage::RolledBack => ReportedState::RolledBack,
-        };
-        self.is_for_order(report) && report.state == wanted
-    }
-
-    /// Returns what became of the version if the move ends now. Only a final report shows that a
-    /// version was rolled back: other hosts may have completed the move that this one judged bad.
-    fn past(&self) -> PastMove {
-        let order = &self.tracker.order;
-        PastMove {
-            service: order.service.clone(),
-            version: order.to.clone(),
-            order_version: self.order_version,
-            fate: match self.tracker.stage() {
-                MoveStage::Shift | MoveStage::Completed => VersionFate::Accepted,
-                MoveStage::RolledBack if self.is_final => VersionFate::RolledBack,
-                MoveStage::Canary | MoveStage::Ramp | MoveStage::RolledBack => {
-                    VersionFate::Unproven
-                }
-            },
-        }
-    }
-
-    /// Enters the stage of a final report.
-    fn finish(&mut self, stage: MoveStage, now: MonoNs) {
-        self.is_final = true;
-        self.enter(stage, now);
-    }
-
-    fn enter(&mut self, stage: MoveStage, now: MonoNs) {
-        if self.tracker.stage() != stage {
-            self.tracker.set_stage(stage);
-            self.stage_started = now;
-        }
-    }
-
-    fn step(
-        &mut self,
-        service: &Name,
-        own: &Name,
-        fleet: &FleetView,
-        epoch: u64,
-        now: MonoNs,
-        effects: &mut Vec<MoveEffect>,
-    ) {
-        let peers: Vec<&MoveProgress> = fleet
-            .live
-            .iter()
-            .filter(|host| host.host != *own)
-            .flat_map(|host| &host.moves)
-            .filter(|state| state.service == *service && state.order_version == self.order_version)
-            .collect();
-        let before = self.tracker.stage();
-        self.merge_peers(&peers, now);
-        let reason = self.decide(&peers, duty_rank(service, own, fleet), now);
-        let after = self.tracker.stage();
-        if before != after {
-            effects.push(MoveEffect::LogStage {
-                service: service.clone(),
-                stage: after,
-                reason: reason.unwrap_or("another host or the stored report has this stage"),
-                evidence: self.evidence(&peers, now),
-            });
-        }
-        // While the order has not been written again, no report can be told to be one of it.
-        if self.order_version.epoch() == epoch
-            && let Some(effect) = self.report_effect(service, &peers, own, fleet, now)
-        {
-            effects.push(effect);
-        }
-    }
-
-    /// Merges the progress of other hosts: the latest stage and the longest time since the order.
-    /// A stage that is reported as final overrides any other, because the old targets stop once a
-    /// move is reported as completed.
-    fn merge_peers(&mut self, peers: &[&MoveProgress], now: MonoNs) {
-        let reported = peers
-            .iter()
-            .find(|peer| peer.is_reported && peer.stage >= MoveStage::Completed);
-        if let Some(peer) = reported.filter(|_| !self.is_final) {
-            self.finish(peer.stage, now);
-        }
-        for peer in peers {
-            let started = now.minus_ms(peer.elapsed_ms);
-            self.started = self.started.min(started);
-            let own = self.tracker.stage();
-            if own < MoveStage::Completed && peer.stage > own {
-                self.enter(peer.stage, now);
-            }
-        }
-    }
-
-    fn decide(
-        &mut self,
-        peers: &[&MoveProgress],
-        duty_rank: Option<usize>,
-        now: MonoNs,
-    ) -> Option<&'static str> {
-        let stage = self.tracker.stage();
-        if stage >= MoveStage::Completed {
-            return None;
-        }
-        let own = self.tracker.state(0);
-        let verdict = judge(
-            peers
-                .iter()
-                .flat_map(|peer| &peer.routes)
-                .chain(&own.routes),
-        );
-        let rollback_reason = match verdict {
-            Verdict::Worse => {
-                Some("the new version has more failed or slow responses than the current one")
-            }
-            Verdict::Failing => Some("the new version has too many failed or slow responses"),
-            Verdict::Unclear | Verdict::Unproven | Verdict::Good => None,
-        };
-        if rollback_reason.is_some() {
-            self.enter(MoveStage::RolledBack, now);
-            return rollback_reason;
-        }
-        let takeover_delay_ms = u64::try_from(duty_rank?)
-            .ok()?
-            .saturating_mul(TAKEOVER_DELAY_MS);
-        let elapsed_ms = now.ms_since(self.started).saturating_sub(takeover_delay_ms);
-        let duration_ms = self.tracker.order.duration_ms;
-        if stage == MoveStage::Canary && elapsed_ms * 100 >= duration_ms * CANARY_PERCENT {
-            self.enter(MoveStage::Ramp, now);
-            return Some("the canary stage has ended");
-        }
-        if stage == MoveStage::Ramp
-            && verdict == Verdict::Good
-            && elapsed_ms * 100 >= duration_ms * RAMP_PERCENT
-        {
-            self.enter(MoveStage::Shift, now);
-            return Some("failed and slow responses of the new version are within the bounds");
-        }
-        if stage < MoveStage::Shift
-            && verdict == Verdict::Unproven
-            && elapsed_ms + REPORT_MARGIN_MS >= duration_ms
-        {
-            self.enter(MoveStage::RolledBack, now);
-            return Some("the new version could not be shown to be good in time");
-        }
-        None
-    }
-
-    fn evidence(&self, peers: &[&MoveProgress], now: MonoNs) -> MoveEvidence {
-        let own = self.tracker.state(now.ms_since(self.started));
-        MoveEvidence::new(&own, peers, self.tracker.share())
-    }
-
-    fn wanted_report(&self, peers: &[&MoveProgress], now: MonoNs) -> Option<ReportedState> {
-        match self.tracker.stage() {
-            MoveStage::Canary | MoveStage::Ramp => Some(ReportedState::Running),
-            MoveStage::RolledBack => Some(ReportedState::RolledBack),
-            MoveStage::Completed => self.must_report_again.then_some(ReportedState::Completed),
-            MoveStage::Shift => {
-                let is_drained = |state: &MoveProgress| {
-                    state.stage >= MoveStage::Shift && state.current_in_flight == 0
-                };
-                let all_drained =
-                    is_drained(&self.tracker.state(0)) && peers.iter().all(|peer| is_drained(peer));
-                let is_shift_settled = now.ms_since(self.stage_started) >= SHIFT_MIN_MS;
-                let elapsed_ms = now.ms_since(self.started);
-                let is_urgent = elapsed_ms + REPORT_MARGIN_MS >= self.tracker.order.duration_ms;
-                ((all_drained && is_shift_settled) || is_urgent).then_some(ReportedState::Completed)
-            }
-        }
-    }
-
-    fn report_effect(
-        &mut self,
-        service: &Name,
-        peers: &[&MoveProgress],
-        own: &Name,
-        fleet: &FleetView,
-        now: MonoNs,
-    ) -> Option<MoveEffect> {
-        if now < self.next_store_call {
-            return None;
-        }
-        let wanted = self.wanted_report(peers, now)?;
-        let stage = self.tracker.stage();
-        let is_reported = self.is_reported()
-            || peers
-                .iter()
-                .any(|peer| peer.is_reported && peer.stage >= stage);
-        let duty_rank = u64::try_from(duty_rank(service, own, fleet)?).ok()?;
-        let is_due =
-            now.ms_since(self.stage_started) >= duty_rank.saturating_mul(TAKEOVER_DELAY_MS);
-        if is_reported || !is_due {
-            return None;
-        }
-        let Some(report) = &self.report else {
-            self.next_store_call = now.plus_ms(STORE_CALL_PAUSE_MS);
-            return Some(MoveEffect::ReadReport(service.clone()));
-        };
-        self.next_store_call = now.plus_ms(STORE_CALL_PAUSE_MS);
-        Some(MoveEffect::WriteReport {
-            service: service.clone(),
-            to: self.tracker.order.to.clone(),
-            state: wanted,
-            expected_version: report
-                .as_ref()
-                .map_or(StoreVersion::NONE, |report| report.version),
-        })
-    }
-}
--- a/crates/steering/src/past_moves.rs
+++ b/crates/steering/src/past_moves.rs
@@ -5,7 +5,7 @@
 
 use heatherhinge_types::{Name, StoreVersion};
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Most past moves that are kept; the oldest is dropped first.
 const MAX_PAST_MOVES: usize = 64;
@@ -72,6 +72,19 @@
         self.0.get(&key).map(|past| past.fate)
     }
 
+    /// Lists what became of the versions of a service whose moves ended with a final report.
+    pub fn verdicts(&self, service: &Name) -> impl Iterator<Item = &PastMove> {
+        let is_final = |past: &&PastMove| past.fate != VersionFate::Unproven;
+        let moves = self.0.values().filter(is_final);
+        moves.filter(move |past| past.service == *service)
+    }
+
+    /// Lists the services with past moves.
+    #[must_use]
+    pub fn services(&self) -> BTreeSet<Name> {
+        self.0.keys().map(|(service, _)| service.clone()).collect()
+    }
+
     /// Lists all past moves for gossip.
     #[must_use]
     pub fn list(&self) -> Vec<PastMove> {
--- a/crates/steering/tests/moves.rs
+++ b/crates/steering/tests/moves.rs
@@ -181,7 +181,7 @@
                     let version = at(version);
                     control.set_report(&service, Some(MoveReport { to, state, version }), now);
                 }
-                MoveEffect::LogStage { .. } => {}
+                MoveEffect::LogStage { .. } | MoveEffect::WriteVerdicts { .. } => {}
             }
         }
     }
--- a/crates/steering/tests/store_returns.rs
+++ b/crates/steering/tests/store_returns.rs
@@ -304,7 +304,7 @@
                     let version = at(2, 60);
                     control.set_report(&service, Some(MoveReport { to, state, version }), now);
                 }
-                MoveEffect::LogStage { .. } => {}
+                MoveEffect::LogStage { .. } | MoveEffect::WriteVerdicts { .. } => {}
             }
         }
     }
@@ -391,3 +391,76 @@
     control.learn(&[past(at(1, 40))], now);
     assert_eq!(control.trackers()["orders"].stage(), MoveStage::RolledBack);
 }
+
+/// Returns the verdicts that host `own` of three stores at a time, as versions and fates.
+fn stored(control: &mut MoveControl, own: &str, now: MonoNs) -> Vec<(Name, VersionFate)> {
+    let effects = control.step(&Name::new(own), &fleet(3), now);
+    let verdicts = effects.into_iter().filter_map(|effect| match effect {
+        MoveEffect::WriteVerdicts { verdicts, .. } => Some(verdicts),
+        _ => None,
+    });
+    let pair = |past: PastMove| (past.version, past.fate);
+    verdicts.flatten().map(pair).collect()
+}
+
+// Guards against a verdict that is lost with all processes, or with a return of the store, because no
+// host stores it, and against all hosts that store it at once.
+#[test]
+fn one_host_stores_the_verdicts() {
+    let now = MonoNs::from_ms(1_000);
+    let mut writers = 0;
+    for own in ["host-1", "host-2", "host-3"] {
+        let mut control = reported_move(ReportedState::RolledBack, now);
+        let expected = [(order().to, VersionFate::RolledBack)];
+        let written = stored(&mut control, own, now);
+        if written.is_empty() {
+            continue;
+        }
+        writers += 1;
+        assert_eq!(written, expected);
+        assert_eq!(stored(&mut control, own, now.plus_ms(1_000)), []);
+        control.verdicts_not_stored(&order().service);
+        assert_eq!(stored(&mut control, own, now.plus_ms(2_000)), expected);
+        control.begin_epoch(2);
+        assert_eq!(stored(&mut control, own, now.plus_ms(3_000)), expected);
+        // A later move to the same version goes well.
+        let other = MoveOrder {
+            to: Name::new("v3"),
+            ..order()
+        };
+        let orders = BTreeMap::from([(order().service, (at(2, 70), other))]);
+        control.set_orders(&orders, &[], now);
+        control.set_orders(&orders_at(at(2, 80)), &[], now);
+        let report = MoveReport {
+            to: order().to,
+            state: ReportedState::Completed,
+            version: at(2, 90),
+        };
+        control.set_report(&order().service, Some(report), now);
+        let expected = [(order().to, VersionFate::Accepted)];
+        assert_eq!(stored(&mut control, own, now.plus_ms(4_000)), expected);
+    }
+    assert_eq!(writers, 1);
+}
+
+// Guards against a host that tries a version again after a loss of power although the store holds that
+// it was rolled back, and against one that stores again what it has just read.
+#[test]
+fn stored_verdicts_are_known_after_a_restart() {
+    let now = MonoNs::from_ms(1_000);
+    let past = PastMove {
+        service: order().service,
+        version: order().to,
+        order_version: at(1, 40),
+        fate: VersionFate::RolledBack,
+    };
+    let mut control = MoveControl::default();
+    control.set_orders(&orders_at(at(1, 40)), &[], now);
+    control.learn_stored(&[past], now);
+    assert_eq!(control.trackers()["orders"].stage(), MoveStage::RolledBack);
+    let fate = control.past_moves().fate(&order().service, &order().to);
+    assert_eq!(fate, Some(VersionFate::RolledBack));
+    for own in ["host-1", "host-2", "host-3"] {
+        assert_eq!(stored(&mut control, own, now), []);
+    }
+}
