--- a/crates/proxy/src/forward.rs
+++ b/crates/proxy/src/forward.rs
@@ -1,6 +1,7 @@
 //! Processes a request from its arrival to its response.
 
 use crate::attempt::target_client;
+use crate::delivery::{buffer_small, stream};
 use crate::dispatcher::Dispatcher;
 use crate::headers::Trace;
 use crate::refusal::{RequestError, error_response};
@@ -10,7 +11,7 @@
 use crate::request_records::RequestRecords;
 use crate::response_body::{ActiveRequest, BodyTimes};
 use crate::sender::Sender;
-use crate::stored_response::{STORED_BODY_MAX_BYTES, replay, stored_response};
+use crate::stored_response::replay;
 use crate::{Clock, Limits, Observer, PartitionOwners, ResponseBody, StreamedResponseBody};
 use heatherhinge_blackboard::{Blackboard, HostPhase};
 use heatherhinge_claims::{AttemptId, ClaimRequest, ClaimResponse, Outcome, Settlement};
@@ -21,15 +22,13 @@
 use heatherhinge_types::{Code, IdempotencyKey, Name, Now, Ran, header};
 use http::request::Parts;
 use http::{HeaderValue, Request, Response};
-use http_body::Body;
-use http_body_util::BodyExt;
 use hyper::body::Incoming;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::Duration;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 use tracing::Instrument;
 
 /// The parts that the data path of a host is built from.
@@ -485,35 +484,3 @@
         Err(code) => Err(*code),
     }
 }
-
-fn stream(target_response: TargetResponse, times: BodyTimes) -> Response<ResponseBody> {
-    let TargetResponse { response, acquired } = target_response;
-    response.map(|incoming| {
-        let body =
-            StreamedResponseBody::new(incoming, times, acquired.chosen.in_flight, acquired.wake);
-        ResponseBody::from(body)
-    })
-}
-
-/// Buffers a small response, so that the owner of the key can replay it, and streams a larger one.
-async fn buffer_small(
-    target_response: TargetResponse,
-    times: BodyTimes,
-) -> (Outcome, Result<Response<ResponseBody>, Code>) {
-    let size = target_response.response.body().size_hint().exact();
-    if size.is_none_or(|bytes| bytes > STORED_BODY_MAX_BYTES) {
-        return (Outcome::Completed(None), Ok(stream(target_response, times)));
-    }
-    let (head, body) = target_response.response.into_parts();
-    let collected = timeout(times.idle.min(times.left), body.collect()).await;
-    drop(target_response.acquired);
-    match collected {
-        Ok(Ok(body)) => {
-            let body = body.to_bytes();
-            let stored = stored_response(&head, &body);
-            let response = Response::from_parts(head, ResponseBody::full(body));
-            (Outcome::Completed(Some(stored)), Ok(response))
-        }
-        _ => (Outcome::Completed(None), Err(Code::TargetBroke)),
-    }
-}
--- a/crates/proxy/src/lib.rs
+++ b/crates/proxy/src/lib.rs
@@ -8,6 +8,7 @@
 
 mod attempt;
 mod clock;
+mod delivery;
 mod dispatcher;
 mod forward;
 mod headers;
