Know the store's epoch from the first version

Callers saw: nothing; found by reading the series. A host that knows an epoch from its start never reported a move. Cause: the control of moves learned of an epoch only by a return, and reports wait until the order is of the current one. The tests let the store state its epoch after the hosts had started. Evidence: with hosts that start after it, both cases of a_final_report_is_written_again failed before the return. Change: the first version that a host sees sets the epoch. An answer with an invalid epoch is not reported as an outage, as the store has answered. Why it works: every host observes a version before it has an order.

--- a/crates/gateway/src/control_loop/tables.rs
+++ b/crates/gateway/src/control_loop/tables.rs
@@ -54,8 +54,12 @@
     }
 
     pub(super) fn apply(&mut self, table: StoredTable, update: &TableUpdate, source: UpdateSource) {
-        if let EpochStep::Later { from } = self.epoch.observe(update.version) {
-            self.begin_epoch(from, table, update, source);
+        match self.epoch.observe(update.version) {
+            EpochStep::First => {
+                self.moves.begin_epoch(update.version.epoch());
+            }
+            EpochStep::Later { from } => self.begin_epoch(from, table, update, source),
+            EpochStep::Current | EpochStep::Earlier => {}
         }
         match table {
             StoredTable::Orders => self.apply_orders(update, source),
--- a/crates/gateway/src/store_call_scheduler.rs
+++ b/crates/gateway/src/store_call_scheduler.rs
@@ -263,7 +263,11 @@
                 self.is_unavailable = false;
                 StoreChange::Recovered
             }
-            None | Some(StoreError::HistoryLost | StoreError::EpochChanged) => StoreChange::None,
+            // The store has answered.
+            None
+            | Some(
+                StoreError::HistoryLost | StoreError::EpochChanged | StoreError::EpochInvalid(_),
+            ) => StoreChange::None,
             Some(_) if self.is_unavailable => StoreChange::None,
             Some(_) => {
                 self.is_unavailable = true;
--- a/crates/gateway/tests/unit/store_call_scheduler.rs
+++ b/crates/gateway/tests/unit/store_call_scheduler.rs
@@ -209,3 +209,38 @@
         "{targets} and {orders} reads"
     );
 }
+
+// Guards against a return of the store, or an answer from before it, that is reported as an outage, and
+// against a table of an earlier epoch whose changes are asked for.
+#[test]
+fn returns_are_no_outages() {
+    let (mut scheduler, now) = start();
+    for error in [
+        StoreError::EpochChanged,
+        StoreError::EpochInvalid("1 after 2".to_owned()),
+    ] {
+        let change = scheduler.record_end(StoredTable::Orders, Some(&error), now);
+        assert_eq!(change, StoreChange::None);
+    }
+    let returned = StoreFacts {
+        epoch: 2,
+        orders_version: StoreVersion::new(1, 5).unwrap(),
+        targets_version: StoreVersion::new(2, 5).unwrap(),
+        ..facts(true, 1_000)
+    };
+    let calls = scheduler.next(&returned, now.plus_ms(5_000));
+    let whole =
+        |call: &&StoreCall| matches!(call, StoreCall::Read { after, .. } if after.is_none());
+    let whole: Vec<_> = calls.iter().filter(whole).collect();
+    assert_eq!(reads(&calls, StoredTable::Targets), 1);
+    assert!(
+        matches!(
+            whole[..],
+            [StoreCall::Read {
+                table: StoredTable::Orders,
+                ..
+            }]
+        ),
+        "{calls:?}"
+    );
+}
--- a/crates/steering/src/store_epoch.rs
+++ b/crates/steering/src/store_epoch.rs
@@ -5,6 +5,8 @@
 /// What a version shows of the store's epoch.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum EpochStep {
+    /// It is the first version that the host has seen, which shows no return.
+    First,
     /// The version is of the epoch that is known.
     Current,
     /// The store has returned from an older copy.
@@ -30,14 +32,13 @@
         }
     }
 
-    /// Records the epoch of a version and returns how it differs from the known one. The first version
-    /// of a host shows no return.
+    /// Records the epoch of a version and returns how it differs from the known one.
     pub const fn observe(&mut self, version: StoreVersion) -> EpochStep {
         let epoch = version.epoch();
         match self.0 {
             None => {
                 self.0 = Some(epoch);
-                EpochStep::Current
+                EpochStep::First
             }
             Some(known) if epoch > known => {
                 self.0 = Some(epoch);
