--- a/crates/test-harness/src/store.rs
+++ b/crates/test-harness/src/store.rs
@@ -31,6 +31,9 @@
     Silent,
     /// Handles each request after this many milliseconds.
     Slow(u64),
+    /// Handles each request at once and responds after this many milliseconds, so that an answer may
+    /// arrive after a return that it knows nothing of.
+    Late(u64),
     /// Commits transactions and closes the connection without a response. Reads are handled.
     LoseAnswers,
 }
@@ -263,7 +266,7 @@
             }
             StoreMode::Silent => std::future::pending().await,
             StoreMode::Slow(ms) => tokio::time::sleep(Duration::from_millis(ms)).await,
-            StoreMode::Serve | StoreMode::LoseAnswers => {}
+            StoreMode::Serve | StoreMode::Late(_) | StoreMode::LoseAnswers => {}
         }
         let query = head.uri.query().unwrap_or_default().to_owned();
         let response = match (&head.method, head.uri.path()) {
@@ -275,7 +278,11 @@
         if mode == StoreMode::LoseAnswers && head.method == Method::POST {
             return Err(io::Error::other("response lost on purpose"));
         }
-        Ok(self.with_era(response))
+        let response = self.with_era(response);
+        if let StoreMode::Late(ms) = mode {
+            tokio::time::sleep(Duration::from_millis(ms)).await;
+        }
+        Ok(response)
     }
 
     fn with_era(&self, mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
