--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -231,6 +231,7 @@
         self.state = "ready"
         self.born = int(time.time() * 1000)
         self.runs = []      # (time, request id)
+        self.at_work = set()
         self.fails = False
         self.writers = set()
 
@@ -254,13 +255,17 @@
             self.register()
             await asyncio.sleep(1.5)
 
-    def stop(self):
-        """Ends at once, as after `completed`: connections close, the port is shut."""
+    def begin(self, path, ident):
+        """Called when a request begins to run; returns whether the worker has ended instead."""
+        return False
+
+    def crash(self):
+        """Ends at once: connections close, the port is shut. The entry lapses after 4.5 s."""
         self.beats.cancel()
         self.server.close()
         for writer in list(self.writers):
             writer.transport.abort()
-        self.store.remove("servers", self.id)
+        asyncio.get_running_loop().call_later(4.5, self.store.remove, "servers", self.id)
 
     async def _serve(self, reader, writer):
         self.writers.add(writer)
@@ -281,11 +286,17 @@
                 if self.running >= self.slots + 24:
                     writer.write(response(503, echo + [("X-Not-Executed", "1")]))
                     continue
-                self.running += 1
                 self.runs.append((time.monotonic(), ident))
                 self.record.line(f"{self.id} ({self.zone}, {self.version}) runs {method} {ident}")
-                await asyncio.sleep(self.work_s)
-                self.running -= 1
+                if self.begin(path, ident):
+                    return
+                self.running += 1
+                self.at_work.add(ident)
+                try:
+                    await asyncio.sleep(self.work_s)
+                finally:
+                    self.running -= 1
+                    self.at_work.discard(ident)
                 status = 500 if self.fails else 200
                 echo += [("X-Server-Signature", f"sig-{self.id}-{ident}"), load]
                 writer.write(response(status, echo, f"{self.id} {ident}".encode()))
@@ -403,29 +414,33 @@
             await asyncio.sleep(1 / per_s)
         await asyncio.gather(*self.tasks)
 
-    async def request(self, index):
+    async def request(self, index, path=None):
+        """Sends one request; returns its status, 0 without an answer, and its Retry-After."""
         ident = f"{random.getrandbits(64):016x}"
         host = self.hosts.hosts[index]
         self.sent[ident] = (time.monotonic(), index)
-        status, got = 0, ""
+        status, got, retry_after = 0, "", 0.0
         try:
-            status, got = await asyncio.wait_for(
-                self._exchange(host["listen"]["front"], ident), self.deadline_ms / 1000)
+            status, got, retry_after = await asyncio.wait_for(
+                self._exchange(host["listen"]["front"], ident, path or ident),
+                self.deadline_ms / 1000)
         except (OSError, asyncio.IncompleteReadError, asyncio.TimeoutError, ValueError):
             pass
         self.answers[ident] = status
         self.record.line(f"client: {ident} to {host['name']}: {status or 'no answer'} {got}")
+        return status, retry_after
 
-    async def _exchange(self, addr, ident):
+    async def _exchange(self, addr, ident, path):
         reader, writer = await asyncio.open_connection(*parts(addr))
         try:
             body = b"" if self.method == "GET" else b"order=1"
             length = "" if self.method == "GET" else f"Content-Length: {len(body)}\r\n"
-            writer.write((f"{self.method} {self.prefix}{ident} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
+            writer.write((f"{self.method} {self.prefix}{path} HTTP/1.1\r\nHost: {HOST_NAME}\r\n"
                           f"X-Request-Id: {ident}\r\nX-Deadline-Ms: {self.deadline_ms}\r\n"
                           f"{length}\r\n").encode() + body)
-            line, _, content = await read_message(reader)
-            return int(line.split(" ")[1]), content.decode(errors="replace")
+            line, headers, content = await read_message(reader)
+            retry_after = float(headers.get("retry-after", 0))
+            return int(line.split(" ")[1]), content.decode(errors="replace"), retry_after
         finally:
             writer.close()
 
