review: a request that crashes workers is let through each minute by all hosts

Cause: the quarantine of a request ends at all hosts at the same time, 60 s after the last crash, without a trial by one of them, though nothing has answered the request. The stand-ins end their hosts at SIGTERM. Nothing is fixed.

--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -465,9 +465,16 @@
     """Runs `body(record, trouble)`, which returns whether the rule held; exits as the issue asks."""
     record = Record(os.path.join(folder, "record.txt"))
     trouble = os.environ.get("TROUBLE", "1") != "0"
+
+    async def run():
+        task = asyncio.ensure_future(body(record, trouble))
+        # Whoever ends the script early leaves no host running.
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, task.cancel)
+        return await asyncio.wait_for(task, 110)
+
     try:
-        held = asyncio.run(asyncio.wait_for(body(record, trouble), 110))
-    except Exception as error:  # the case could not run
+        held = asyncio.run(run())
+    except (Exception, asyncio.CancelledError) as error:  # the case could not run
         record.say(f"the case could not run: {error!r}")
         raise SystemExit(2)
     record.say("the rule held" if held else "the rule was broken")
