--- a/review/lib-3/standins.py
+++ b/review/lib-3/standins.py
@@ -254,10 +254,6 @@
             self.register()
             await asyncio.sleep(1.5)
 
-    def sheds(self, ident):
-        """Returns whether the worker refuses a request though it has room."""
-        return False
-
     async def answer(self, writer, head, ident):
         """Writes the answer; returns whether the connection goes on."""
         writer.write(response(200, head, f"{self.id} {ident}".encode()))
@@ -292,7 +288,7 @@
                 if headers.get("x-expect-instance") != self.id:
                     writer.write(response(421, echo + [("X-Not-Executed", "1")]))
                     continue
-                if self.running >= self.slots + 24 or self.sheds(ident):
+                if self.running >= self.slots + 24:
                     writer.write(response(503, echo + [("X-Not-Executed", "1")]))
                     continue
                 self.runs.append((time.monotonic(), ident))
